--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -8,10 +8,8 @@
 	"github.com/clementineweir/clementineweir/pkg/record"
 )
 
-const (
-	settlePoll    = 20 * time.Millisecond
-	settleTimeout = 15 * time.Second
-)
+// settlePoll is how often the drain looks whether the log has confirmed everything.
+const settlePoll = 20 * time.Millisecond
 
 // drain fails the readiness check, lets every running request finish, settles and leaves.
 func (da *Daemon) drain() error {
@@ -26,7 +24,7 @@
 		lo.Info("requests still run", "event", "drainTimedOut")
 	}
 	da.servers.shutdownCallers(ctx)
-	if !da.leave() {
+	if !da.leave(ctx) {
 		lo.Info("not settled", "event", "drainUnsettled")
 		return nil
 	}
@@ -35,9 +33,7 @@
 }
 
 // leave settles, returns the grants and closes the incarnation; it reports whether the log confirmed it.
-func (da *Daemon) leave() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-	defer cancel()
+func (da *Daemon) leave(ctx context.Context) bool {
 	jo := da.joined.Load()
 	jo.book.Drain()
 	if !da.awaitTrue(ctx, da.settled) {
--- a/internal/fakes/generation.go
+++ b/internal/fakes/generation.go
@@ -50,6 +50,7 @@
 	key      string
 	path     string
 	priority int
+	fencing  int64
 	request  completionRequest
 	text     string
 	words    []string
@@ -67,11 +68,12 @@
 	text := cr.text()
 	return &generation{
 		runner: ru, id: rq.Header.Get(headerID), key: rq.Header.Get(headerKey), path: rq.URL.Path,
-		priority: priority, request: cr, text: text, words: Words(text, cr.bound()), changed: make(chan struct{}),
+		priority: priority, fencing: fencingOf(rq), request: cr, text: text, words: Words(text, cr.bound()), changed: make(chan struct{}),
 	}
 }
 
 func (ge *generation) run() {
+	ge.runner.tell(ge.fencing, 0)
 	sw := ge.runner.slots.acquire(ge.priority)
 	defer ge.runner.slots.release(sw)
 	if !ge.awaitSlot(sw) {
@@ -90,7 +92,9 @@
 		if !ge.produce(ge.chunk(word, ix)) {
 			return
 		}
+		ge.runner.tell(ge.fencing, ix+1)
 	}
+	ge.runner.tell(ge.fencing, EventEnd)
 	ge.complete()
 }
 
--- a/internal/fakes/log.go
+++ b/internal/fakes/log.go
@@ -47,6 +47,13 @@
 	appends int64
 	window  time.Time
 	inWin   int
+	probe   LogProbe
+}
+
+// LogProbe is told of appends before and after they take effect.
+type LogProbe interface {
+	Appending(stream string, data []byte)
+	Appended(stream string, data []byte)
 }
 
 type stream struct {
@@ -69,6 +76,19 @@
 	}
 }
 
+// SetProbe sets who is told of appends.
+func (lo *Log) SetProbe(pr LogProbe) {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	lo.probe = pr
+}
+
+func (lo *Log) currentProbe() LogProbe {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	return lo.probe
+}
+
 // Appends returns how many appends took effect.
 func (lo *Log) Appends() int64 {
 	lo.mu.Lock()
@@ -78,9 +98,21 @@
 
 // Append adds one entry.
 func (lo *Log) Append(ctx context.Context, name string, data []byte) (int64, error) {
+	pr := lo.currentProbe()
+	if pr != nil {
+		pr.Appending(name, data)
+	}
 	if err := lo.pass(ctx); err != nil {
 		return 0, err
 	}
+	offset, err := lo.add(name, data)
+	if pr != nil {
+		pr.Appended(name, data)
+	}
+	return offset, err
+}
+
+func (lo *Log) add(name string, data []byte) (int64, error) {
 	lo.mu.Lock()
 	defer lo.mu.Unlock()
 	if len(data) > maxEntryBytes {
--- a/internal/fakes/runner.go
+++ b/internal/fakes/runner.go
@@ -17,8 +17,22 @@
 	headerID       = "X-Request-ID"
 	headerKey      = "Idempotency-Key"
 	headerPriority = "X-Priority"
+	headerFencing  = "X-Fencing"
 )
 
+// RunProbe is told of runs: Event 0 is the dispatch, 1 the first token, and -1 the end.
+type RunProbe interface {
+	Ran(endpoint string, fencing int64, event int)
+}
+
+// EventEnd is the event of a run that has produced everything.
+const EventEnd = -1
+
+func fencingOf(rq *http.Request) int64 {
+	num, _ := strconv.ParseInt(rq.Header.Get(headerFencing), 10, 64)
+	return num
+}
+
 // RunnerConfig describes a model runner.
 type RunnerConfig struct {
 	Name   string
@@ -72,7 +86,7 @@
 	cache   *blockCache
 	down    time.Time
 	lagged  []loadSample
-	epoch   int
+	probe   RunProbe
 }
 
 type loadSample struct {
@@ -97,12 +111,27 @@
 	ru.faulty = 0
 }
 
+// SetProbe sets who is told of runs.
+func (ru *Runner) SetProbe(pr RunProbe) {
+	ru.mu.Lock()
+	defer ru.mu.Unlock()
+	ru.probe = pr
+}
+
+func (ru *Runner) tell(fencing int64, event int) {
+	ru.mu.Lock()
+	pr := ru.probe
+	ru.mu.Unlock()
+	if pr != nil {
+		pr.Ran(ru.config.Name, fencing, event)
+	}
+}
+
 // Crash ends every run and refuses connections until the runner has restarted.
 func (ru *Runner) Crash() {
 	ru.mu.Lock()
 	defer ru.mu.Unlock()
 	ru.down = time.Now().Add(ru.config.RestartAfter)
-	ru.epoch++
 	for _, ge := range ru.runs {
 		ge.abort()
 	}
--- a/internal/fakes/service.go
+++ b/internal/fakes/service.go
@@ -43,6 +43,7 @@
 	faults ServiceFaults
 	calls  []ServiceCall
 	down   time.Time
+	probe  RunProbe
 }
 
 // NewService returns a service that has run nothing.
@@ -55,6 +56,29 @@
 	se.faults = fa
 }
 
+// SetProbe sets who is told of calls.
+func (se *Service) SetProbe(pr RunProbe) {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	se.probe = pr
+}
+
+func (se *Service) tell(fencing int64, event int) {
+	se.mu.Lock()
+	pr := se.probe
+	se.mu.Unlock()
+	if pr != nil {
+		pr.Ran(se.config.Name, fencing, event)
+	}
+}
+
+// Crash refuses connections until the service has restarted.
+func (se *Service) Crash() {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	se.down = time.Now().Add(se.config.RestartAfter)
+}
+
 // Calls returns the calls that were run, in order.
 func (se *Service) Calls() []ServiceCall {
 	se.mu.Lock()
@@ -91,12 +115,16 @@
 	if se.refuses() {
 		return echo.NewHTTPError(http.StatusTooManyRequests, "this runner takes no calls")
 	}
+	fencing := fencingOf(ct.Request())
+	se.tell(fencing, 0)
 	time.Sleep(se.config.Delay)
+	se.dieWhenDown()
 	ca := ServiceCall{
 		ID: ct.Request().Header.Get(headerID), Key: ct.Request().Header.Get(headerKey),
 		Path: ct.Request().URL.Path, Body: string(data),
 	}
 	fa := se.record(ca)
+	se.tell(fencing, EventEnd)
 	if fa.Hang {
 		<-ct.Request().Context().Done()
 	}
--- a/internal/runner/client.go
+++ b/internal/runner/client.go
@@ -94,7 +94,7 @@
 }
 
 // send starts the call and returns its response.
-func (cl *Client) send(ctx context.Context, ca engine.Call, body []byte) (*http.Response, error) {
+func (cl *Client) send(ctx context.Context, hc *http.Client, ca engine.Call, body []byte) (*http.Response, error) {
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }}
 	rq, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), ca.Method, ca.Endpoint.Address+ca.Path, onceBody(body))
@@ -103,7 +103,7 @@
 	}
 	rq.ContentLength = int64(len(body))
 	setHeaders(rq, ca)
-	rs, err := cl.clientFor(ca).Do(rq)
+	rs, err := hc.Do(rq)
 	if err == nil {
 		return rs, nil
 	}
--- a/internal/runner/load.go
+++ b/internal/runner/load.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 
@@ -38,3 +40,16 @@
 	err = json.NewDecoder(io.LimitReader(rs.Body, errorBodyBytes)).Decode(&lo)
 	return lo, eris.Wrap(err, "decode the load")
 }
+
+// crashed reports whether the endpoint's process has ended: its machine answers, but nothing listens or the connection breaks off.
+//
+// Silence proves nothing, since the network between may be cut.
+func (cl *Client) crashed(ctx context.Context, ep ticket.Endpoint) bool {
+	_, err := cl.Load(ctx, ep)
+	for _, sign := range []error{syscall.ECONNREFUSED, syscall.ECONNRESET, io.EOF, io.ErrUnexpectedEOF} {
+		if errors.Is(err, sign) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/runner/model.go
+++ b/internal/runner/model.go
@@ -12,8 +12,12 @@
 	"github.com/clementineweir/clementineweir/pkg/fault"
 )
 
-// errSilent reports a connection without data for too long.
-var errSilent = errors.New("the connection went silent")
+var (
+	// errSilent reports a connection without data for too long.
+	errSilent = errors.New("the connection went silent")
+	// errUnknown reports a request that the endpoint does not know.
+	errUnknown = errors.New("unknown request")
+)
 
 // modelRun is one call of a model runner, over one or more connections.
 type modelRun struct {
@@ -24,10 +28,15 @@
 	// passed counts the events that were received whole.
 	passed int
 	headed bool
+	// begun states that the endpoint has answered the request with headers.
+	begun bool
 }
 
 func (mo *modelRun) run(ctx context.Context) (engine.Usage, error) {
-	err := mo.first(ctx)
+	err := mo.first(ctx, mo.client.clientFor(mo.call))
+	if errors.Is(err, errSilent) {
+		mo.client.pooled.CloseIdleConnections()
+	}
 	for tries := 0; err != nil && mo.resumable(ctx, err) && tries < maxReconnects; tries++ {
 		before := mo.passed
 		err = mo.resume(ctx)
@@ -35,6 +44,9 @@
 			tries = 0
 		}
 	}
+	if errors.Is(err, errUnknown) && mo.call.Idempotent && ctx.Err() == nil {
+		err = mo.first(ctx, mo.client.fresh)
+	}
 	if err == nil {
 		return mo.usage, nil
 	}
@@ -50,7 +62,7 @@
 	if errors.As(err, &fa) && (fa.Verdict() == fault.NotRun || fa.Kind() == fault.Crashed || fa.Verdict() == fault.Ran) {
 		return false
 	}
-	return ctx.Err() == nil
+	return ctx.Err() == nil && !errors.Is(err, errUnknown)
 }
 
 func (mo *modelRun) errorOf(ctx context.Context, err error) error {
@@ -60,10 +72,11 @@
 	return fault.From(err, fault.MayHaveRun)
 }
 
-func (mo *modelRun) first(ctx context.Context) error {
+// first sends the request and receives what comes on that connection.
+func (mo *modelRun) first(ctx context.Context, hc *http.Client) error {
 	wa := newWatch(ctx, mo.client.config.SilentAfter)
 	defer wa.stop()
-	rs, err := mo.client.send(wa.ctx, mo.call, mo.body())
+	rs, err := mo.client.send(wa.ctx, hc, mo.call, mo.body())
 	if err != nil {
 		return wa.cause(err)
 	}
@@ -74,6 +87,7 @@
 	if rs.StatusCode != http.StatusOK {
 		return rejected(rs)
 	}
+	mo.begun = true
 	return mo.receive(wa, rs)
 }
 
@@ -106,18 +120,28 @@
 	case http.StatusAccepted:
 		return errSilent
 	case http.StatusNotFound:
-		return fault.New(fault.Crashed, fault.MayHaveRun, "the endpoint has lost the request")
+		return mo.unknown()
 	default:
 		return fault.New(fault.Upstream, fault.MayHaveRun, "the endpoint cannot resume the answer")
 	}
 }
 
+// unknown returns the error for a request that the endpoint does not know.
+//
+// An endpoint that had begun to answer has lost the request in a crash; else the request may never have arrived.
+func (mo *modelRun) unknown() error {
+	if mo.begun {
+		return fault.New(fault.Crashed, fault.MayHaveRun, "the endpoint has lost the request")
+	}
+	return fault.Wrap(errUnknown, fault.Upstream, fault.MayHaveRun, "the endpoint does not know the request")
+}
+
 // unanswered decides between a crash and a passing fault after a resumption failed.
 func (mo *modelRun) unanswered(ctx context.Context, err error) error {
 	if errors.Is(err, errSilent) || ctx.Err() != nil {
 		return err
 	}
-	if _, probeErr := mo.client.Load(ctx, mo.call.Endpoint); probeErr != nil {
+	if mo.client.crashed(ctx, mo.call.Endpoint) {
 		return fault.Wrap(err, fault.Crashed, fault.MayHaveRun, "the endpoint crashed")
 	}
 	pause(ctx, reconnectPause)
--- a/internal/runner/service.go
+++ b/internal/runner/service.go
@@ -16,8 +16,9 @@
 		defer cancel()
 		ctx = short
 	}
-	rs, err := cl.send(ctx, ca, ca.Body)
+	rs, err := cl.send(ctx, cl.clientFor(ca), ca, ca.Body)
 	if err != nil {
+		cl.pooled.CloseIdleConnections()
 		return cl.crashOr(ctx, ca, err)
 	}
 	defer closeBody(rs)
@@ -40,13 +41,13 @@
 	return nil
 }
 
-// crashOr marks an error as a crash where the endpoint does not answer a health probe.
+// crashOr marks an error as a crash where a probe shows that the endpoint's process has ended.
 func (cl *Client) crashOr(ctx context.Context, ca engine.Call, err error) error {
 	fa := fault.From(err, fault.MayHaveRun)
 	if fa.Verdict() == fault.NotRun || ctx.Err() != nil {
 		return err
 	}
-	if _, probeErr := cl.Load(ctx, ca.Endpoint); probeErr == nil {
+	if !cl.crashed(ctx, ca.Endpoint) {
 		return err
 	}
 	return fault.Wrap(err, fault.Crashed, fa.Verdict(), "the endpoint crashed")
--- a/pkg/engine/run.go
+++ b/pkg/engine/run.go
@@ -79,7 +79,7 @@
 		select {
 		case <-ctx.Done():
 			ru.falseRefusal = true
-			return re, fault.New(fault.BudgetExhausted, fault.NotRun, "no grant of the prepaid budget was free in time").
+			return re, fault.New(fault.Unavailable, fault.NotRun, "the prepaid budget is not exhausted, but no grant was to be had in time").
 				WithRetryAfter(time.Second)
 		case <-changed:
 		}
