Property test: real book, writer, reader, fold and closer under random interleavings

Change: rapid drives three holders with lost, late and unanswered appends, cuts, crashes with reservations running, clocks that differ by 1.8%, top-ups; after each action every open incarnation must stay within its grant and what is counted for closed ones must cover what they had at risk; a replica through a checkpoint must be equal byte for byte.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -84,7 +84,7 @@
 		Node: da, Self: cf.Settings.Instance.PeerAddress, Client: da.peerClient(), Scheme: sc.peerScheme(), Clock: cf.Clock,
 	})
 	da.links.SetAddresses(cf.Settings.Platform.Seeds)
-	da.reader = oplog.NewReader(oplog.ReaderConfig{Log: da.log, Relay: da.links, Replica: da.replica, Logger: cf.Logger})
+	da.reader = oplog.NewReader(oplog.ReaderConfig{Log: da.log, Relay: da.links, Replica: da.replica, Clock: cf.Clock, Logger: cf.Logger})
 	da.registerGauges()
 	return da, nil
 }
--- /dev/null
+++ b/pkg/engine/property_test.go
@@ -0,0 +1,399 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+	"pgregory.net/rapid"
+
+	"github.com/clementineweir/clementineweir/pkg/escrow"
+	"github.com/clementineweir/clementineweir/pkg/ledger"
+	"github.com/clementineweir/clementineweir/pkg/oplog"
+	"github.com/clementineweir/clementineweir/pkg/record"
+	"github.com/clementineweir/clementineweir/pkg/route"
+	"github.com/clementineweir/clementineweir/pkg/ticket"
+)
+
+const (
+	propertyBudgets = 2
+	propertyHolders = 3
+	firstPrepaid    = 700
+	maxTopUp        = 400
+)
+
+var errFaulty = eris.New("the call failed")
+
+// faultyLog is a log whose appends may be lost before or after they take effect, or take effect late.
+type faultyLog struct {
+	entries [][]byte
+	delayed [][]byte
+	cut     map[int]bool
+	next    appendFate
+}
+
+type appendFate int
+
+const (
+	fateOK appendFate = iota
+	fateLost
+	fateAnswerLost
+	fateDelayed
+)
+
+// port is the log as one holder reaches it.
+type port struct {
+	log   *faultyLog
+	owner int
+}
+
+func (po port) Append(_ context.Context, stream string, data []byte) (int64, error) {
+	lo := po.log
+	if stream != oplog.MainStream || lo.cut[po.owner] {
+		return 0, errFaulty
+	}
+	fate := lo.next
+	lo.next = fateOK
+	switch fate {
+	case fateLost:
+		return 0, errFaulty
+	case fateDelayed:
+		lo.delayed = append(lo.delayed, data)
+		return 0, errFaulty
+	case fateAnswerLost:
+		lo.entries = append(lo.entries, data)
+		return 0, errFaulty
+	default:
+		lo.entries = append(lo.entries, data)
+		return int64(len(lo.entries) - 1), nil
+	}
+}
+
+func (po port) Read(_ context.Context, rr oplog.ReadRequest) (oplog.Page, error) {
+	lo := po.log
+	if rr.Stream != oplog.MainStream || lo.cut[po.owner] {
+		return oplog.Page{}, errFaulty
+	}
+	pg := oplog.Page{Next: int64(len(lo.entries)), From: rr.From}
+	if rr.From < pg.Next {
+		pg.Entries = lo.entries[rr.From:]
+	}
+	return pg, nil
+}
+
+// propertyHolder is one incarnation with its real parts.
+type propertyHolder struct {
+	owner   int
+	address string
+	replica *oplog.Replica
+	reader  *oplog.Reader
+	writer  *oplog.Writer
+	engine  *Engine
+	book    escrow.Book
+	clock   oplog.Clock
+	running []escrow.Reservation
+	waiting *escrow.Reservation
+	settled map[string]int64
+	dead    bool
+}
+
+// atRisk returns the tokens of a budget that this incarnation has spent or may still spend.
+func (ph *propertyHolder) atRisk(name string) int64 {
+	sum := ph.settled[name]
+	for _, re := range ph.running {
+		if re.Budget == name {
+			sum += re.Tokens
+		}
+	}
+	return sum
+}
+
+type propertyWorld struct {
+	log     *faultyLog
+	holders []*propertyHolder
+	prepaid map[string]int64
+	number  int64
+	now     time.Duration
+	state   *ledger.State
+}
+
+type silentObserver struct{}
+
+func (silentObserver) Finished(Finish) {}
+
+func newPropertyWorld(rt *rapid.T) *propertyWorld {
+	pw := &propertyWorld{
+		log: &faultyLog{cut: map[int]bool{}}, prepaid: map[string]int64{}, state: ledger.NewState(),
+	}
+	for ix := range propertyBudgets {
+		pw.topUp(fmt.Sprintf("budget-%d", ix), firstPrepaid)
+	}
+	for ix := range propertyHolders {
+		pw.join(rt, fmt.Sprintf("10.0.0.%d:1", ix))
+	}
+	return pw
+}
+
+func (pw *propertyWorld) topUp(name string, total int64) {
+	pw.number++
+	ti := ticket.Ticket{
+		Number: pw.number, Author: "test",
+		Budgets: []ticket.Budget{{Name: name, Team: "team", PrepaidTokens: total}},
+	}
+	data, _ := record.EncodeEntry(record.Entry{Ticket: &ti})
+	pw.log.entries = append(pw.log.entries, data)
+	pw.prepaid[name] = max(pw.prepaid[name], total)
+}
+
+func (pw *propertyWorld) join(rt *rapid.T, address string) {
+	owner := len(pw.holders)
+	rate := rapid.SampledFrom([]int64{991, 1000, 1009}).Draw(rt, "clockRate")
+	offset := time.Duration(owner+1) * time.Hour
+	ph := &propertyHolder{owner: owner, address: address, replica: oplog.NewReplica(), settled: map[string]int64{}}
+	ph.clock = func() time.Duration { return offset + pw.now*time.Duration(rate)/1000 }
+	pause := func(_ context.Context, delay time.Duration) { pw.now += delay }
+	po := port{log: pw.log, owner: owner}
+	ph.reader = oplog.NewReader(oplog.ReaderConfig{Log: po, Relay: oplog.NoRelay{}, Replica: ph.replica, Clock: ph.clock, Pause: pause, Logger: logr.Discard()})
+	ph.book = escrow.NewBook(escrow.Config{
+		Survive: 10 * time.Second, Delay: 300 * time.Millisecond, SlackSpan: time.Second,
+		MinSlack: 20, IdleSpan: 5 * time.Second, HeadRoomPercent: 200,
+	})
+	jo := record.Join{Nonce: fmt.Sprint(owner), Instance: address, Domain: "d", Address: address}
+	number, sent, err := oplog.Open(context.Background(), ph.reader, jo, ph.clock)
+	if err != nil {
+		rt.Fatal(err)
+	}
+	ph.engine = New(Config{
+		Incarnation: number, Replica: ph.replica, Book: ph.book, Table: route.NewTable(),
+		Observer: silentObserver{}, Clock: ph.clock, Logger: logr.Discard(),
+	})
+	ph.writer = oplog.NewWriter(oplog.WriterConfig{
+		Log: po, Relay: oplog.NoRelay{}, Replica: ph.replica, Incarnation: number, Source: ph.engine,
+		Clock: ph.clock, Pause: pause, Logger: logr.Discard(), FlushInterval: time.Millisecond, MinInterval: time.Millisecond,
+	})
+	ph.writer.NoteJoin(sent)
+	ph.engine.Bind(ph.writer)
+	pw.holders = append(pw.holders, ph)
+}
+
+func (pw *propertyWorld) pick(rt *rapid.T) *propertyHolder {
+	var live []*propertyHolder
+	for _, ph := range pw.holders {
+		if !ph.dead {
+			live = append(live, ph)
+		}
+	}
+	return rapid.SampledFrom(live).Draw(rt, "holder")
+}
+
+// reserve tries the request that waits, or a new one, which then waits.
+func (ph *propertyHolder) reserve(rt *rapid.T) {
+	if ph.waiting != nil {
+		ph.retry(rt)
+		return
+	}
+	re := escrow.Reservation{
+		Budget: fmt.Sprintf("budget-%d", rapid.IntRange(0, propertyBudgets-1).Draw(rt, "budget")),
+		Tokens: rapid.Int64Range(1, 120).Draw(rt, "tokens"),
+	}
+	if ph.book.Reserve(ph.clock(), re.Budget, re.Tokens) {
+		ph.running = append(ph.running, re)
+		return
+	}
+	ph.book.Await(ph.clock(), re.Budget, re.Tokens)
+	ph.waiting = &re
+}
+
+func (ph *propertyHolder) retry(rt *rapid.T) {
+	re := *ph.waiting
+	reserved := ph.book.Reserve(ph.clock(), re.Budget, re.Tokens)
+	if reserved {
+		ph.running = append(ph.running, re)
+	}
+	if reserved || rapid.IntRange(0, 9).Draw(rt, "patience") == 0 {
+		ph.book.Leave(re.Budget, re.Tokens)
+		ph.waiting = nil
+	}
+}
+
+func (ph *propertyHolder) finish(rt *rapid.T) {
+	if len(ph.running) == 0 {
+		return
+	}
+	re := ph.running[0]
+	ph.running = ph.running[1:]
+	cost := rapid.Int64Range(0, re.Tokens).Draw(rt, "cost")
+	ph.settled[re.Budget] += cost
+	key := fmt.Sprintf("key-%d", rapid.IntRange(0, 50).Draw(rt, "key"))
+	co := escrow.Cost{Key: key, Kept: rapid.Bool().Draw(rt, "kept"), Billed: cost}
+	if rapid.Bool().Draw(rt, "writtenOff") {
+		co = escrow.Cost{WrittenOff: cost}
+	}
+	ph.book.Settle(ph.clock(), re, co)
+}
+
+// check holds the promise against everything that any incarnation, dead or alive, may have spent.
+//
+// Each open incarnation must stay within its grant, and what was counted for the closed ones must cover what they spent.
+func (pw *propertyWorld) check(rt *rapid.T) {
+	for ix := pw.state.Offset() + 1; ix < int64(len(pw.log.entries)); ix++ {
+		if _, err := pw.state.Apply(ix, pw.log.entries[ix]); err != nil {
+			rt.Fatal(err)
+		}
+	}
+	for name, prepaid := range pw.prepaid {
+		sum, closed := int64(0), int64(0)
+		for _, ph := range pw.holders {
+			risk := ph.atRisk(name)
+			sum += risk
+			number := ph.engine.config.Incarnation
+			if _, open := pw.state.Incarnation(number); !open {
+				closed += risk
+			} else if granted := pw.state.Holding(name, number).Granted; risk > granted {
+				rt.Fatalf("budget %s: incarnation %d has %d tokens at risk of %d granted", name, number, risk, granted)
+			}
+		}
+		if sum > prepaid {
+			rt.Fatalf("budget %s: %d tokens at risk of %d prepaid", name, sum, prepaid)
+		}
+		if counted := pw.state.ClosedSpend(name); closed > counted {
+			rt.Fatalf("budget %s: %d tokens at risk of closed incarnations, %d counted", name, closed, counted)
+		}
+	}
+}
+
+// checkReplicas folds the log anew, directly and through a checkpoint, and compares the states.
+func (pw *propertyWorld) checkReplicas(rt *rapid.T) {
+	direct := ledger.NewState()
+	cut := rapid.IntRange(0, len(pw.log.entries)).Draw(rt, "checkpointAt")
+	var resumed *ledger.State
+	for ix, data := range pw.log.entries {
+		if ix == cut {
+			resumed = reopened(rt, direct)
+		}
+		for _, st := range []*ledger.State{direct, resumed} {
+			if st == nil {
+				continue
+			}
+			if _, err := st.Apply(int64(ix), data); err != nil {
+				rt.Fatal(err)
+			}
+		}
+	}
+	if resumed == nil {
+		return
+	}
+	one, err1 := direct.Encode()
+	two, err2 := resumed.Encode()
+	if err1 != nil || err2 != nil || !bytes.Equal(one, two) {
+		rt.Fatalf("a replica through a checkpoint at %d differs: %v %v", cut, err1, err2)
+	}
+}
+
+func reopened(rt *rapid.T, st *ledger.State) *ledger.State {
+	data, err := st.Encode()
+	if err != nil {
+		rt.Fatal(err)
+	}
+	re, err := ledger.Decode(data)
+	if err != nil {
+		rt.Fatal(err)
+	}
+	return re
+}
+
+// action is something that happens to the world, with how often it is drawn.
+type action struct {
+	weight int
+	do     func(pw *propertyWorld, rt *rapid.T)
+}
+
+var actions = []action{
+	{12, func(pw *propertyWorld, rt *rapid.T) { pw.pick(rt).reserve(rt) }},
+	{5, func(pw *propertyWorld, rt *rapid.T) { pw.pick(rt).finish(rt) }},
+	{4, func(pw *propertyWorld, rt *rapid.T) { pw.write(rt) }},
+	{4, func(pw *propertyWorld, rt *rapid.T) { pw.read(rt) }},
+	{20, func(pw *propertyWorld, rt *rapid.T) { pw.round(rt) }},
+	{2, func(pw *propertyWorld, rt *rapid.T) {
+		pw.log.next = appendFate(rapid.IntRange(0, int(fateDelayed)).Draw(rt, "fate"))
+	}},
+	{2, func(pw *propertyWorld, _ *rapid.T) { pw.lateAppend() }},
+	{5, func(pw *propertyWorld, rt *rapid.T) {
+		pw.now += time.Duration(rapid.IntRange(1, 4000).Draw(rt, "millis")) * time.Millisecond
+	}},
+	{1, func(pw *propertyWorld, rt *rapid.T) { pw.log.cut[pw.pick(rt).owner] = true }},
+	{3, func(pw *propertyWorld, _ *rapid.T) { pw.log.cut = map[int]bool{} }},
+	{1, func(pw *propertyWorld, rt *rapid.T) { pw.drawTopUp(rt) }},
+	{1, func(pw *propertyWorld, rt *rapid.T) { pw.crash(rt) }},
+}
+
+// drawAction returns an action, each as often as its weight says.
+func drawAction(rt *rapid.T) action {
+	var deck []int
+	for ix, ac := range actions {
+		for range ac.weight {
+			deck = append(deck, ix)
+		}
+	}
+	return actions[rapid.SampledFrom(deck).Draw(rt, "action")]
+}
+
+func TestBudgetsHoldUnderEveryInterleaving(t *testing.T) {
+	reserved := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		pw := newPropertyWorld(rt)
+		for range rapid.IntRange(100, 500).Draw(rt, "steps") {
+			drawAction(rt).do(pw, rt)
+			pw.check(rt)
+		}
+		pw.checkReplicas(rt)
+		for _, ph := range pw.holders {
+			reserved += len(ph.running) + len(ph.settled)
+		}
+	})
+	if reserved == 0 {
+		t.Error("no run reserved anything, so nothing was tested")
+	}
+}
+
+func (pw *propertyWorld) write(rt *rapid.T) { pw.pick(rt).writer.Step(context.Background()) }
+
+func (pw *propertyWorld) read(rt *rapid.T) {
+	if err := pw.pick(rt).reader.Step(context.Background(), 0); err != nil {
+		rt.Fatal(err)
+	}
+}
+
+// round lets one holder write and then read back.
+func (pw *propertyWorld) round(rt *rapid.T) {
+	ph := pw.pick(rt)
+	ph.writer.Step(context.Background())
+	if err := ph.reader.Step(context.Background(), 0); err != nil {
+		rt.Fatal(err)
+	}
+}
+
+func (pw *propertyWorld) lateAppend() {
+	if len(pw.log.delayed) > 0 {
+		pw.log.entries = append(pw.log.entries, pw.log.delayed[0])
+		pw.log.delayed = pw.log.delayed[1:]
+	}
+}
+
+func (pw *propertyWorld) drawTopUp(rt *rapid.T) {
+	name := fmt.Sprintf("budget-%d", rapid.IntRange(0, propertyBudgets-1).Draw(rt, "budget"))
+	pw.topUp(name, pw.prepaid[name]+rapid.Int64Range(-200, maxTopUp).Draw(rt, "more"))
+}
+
+// crash ends an incarnation with its requests still running, and starts another process on its address.
+func (pw *propertyWorld) crash(rt *rapid.T) {
+	ph := pw.pick(rt)
+	ph.dead = true
+	pw.log.cut = map[int]bool{}
+	pw.log.next = appendFate(rapid.IntRange(0, int(fateDelayed)).Draw(rt, "joinFate"))
+	pw.join(rt, ph.address)
+}
--- a/pkg/ledger/budget.go
+++ b/pkg/ledger/budget.go
@@ -114,6 +114,15 @@
 	return list
 }
 
+// ClosedSpend returns the tokens of a budget that count as spent by closed incarnations.
+func (st *State) ClosedSpend(name string) int64 {
+	bu, ok := st.budgets[name]
+	if !ok {
+		return 0
+	}
+	return bu.Closed.Billed + bu.Closed.WrittenOff
+}
+
 // Holding returns what one incarnation holds of a budget.
 func (st *State) Holding(name string, number int64) Holding {
 	bu, ok := st.budgets[name]
--- a/pkg/oplog/join.go
+++ b/pkg/oplog/join.go
@@ -11,6 +11,9 @@
 // joinWait is the time to wait for the own join to be read back before it is appended again.
 const joinWait = 2 * time.Second
 
+// joinPoll is the pause between looks for the own join.
+const joinPoll = 10 * time.Millisecond
+
 // Open joins the log and returns the incarnation and its append; the caller already listens on the address of the join.
 //
 // It fails only when the context ends.
@@ -27,7 +30,7 @@
 			return 0, Sent{}, err
 		}
 		if _, err := AppendAny(ctx, cf.Log, cf.Relay, data); err != nil {
-			sleep(ctx, appendBackoff)
+			cf.Pause(ctx, appendBackoff)
 		}
 		if num, ok := awaitJoin(ctx, rd, jo.Nonce); ok {
 			return num, Sent{Offset: num, Start: first}, nil
@@ -37,8 +40,8 @@
 }
 
 func awaitJoin(ctx context.Context, rd *Reader, nonce string) (int64, bool) {
-	end := time.Now().Add(joinWait)
-	for ctx.Err() == nil && time.Now().Before(end) {
+	end := rd.config.Clock() + joinWait
+	for ctx.Err() == nil && rd.config.Clock() < end {
 		if err := rd.Step(ctx, relayInterval); err != nil {
 			return 0, false
 		}
@@ -46,6 +49,7 @@
 		if ok {
 			return num, true
 		}
+		rd.config.Pause(ctx, joinPoll)
 	}
 	return 0, false
 }
--- a/pkg/oplog/reader.go
+++ b/pkg/oplog/reader.go
@@ -46,6 +46,8 @@
 	Log     Log
 	Relay   Relay
 	Replica *Replica
+	Clock   Clock
+	Pause   Pause
 	Logger  logr.Logger
 }
 
@@ -53,13 +55,16 @@
 type Reader struct {
 	config   ReaderConfig
 	contact  atomic.Int32
-	failedAt time.Time
+	failedAt time.Duration
 	corrupt  int
 	reached  atomic.Int64
 }
 
 // NewReader returns a reader; Run starts it.
 func NewReader(config ReaderConfig) *Reader {
+	if config.Pause == nil {
+		config.Pause = sleep
+	}
 	return &Reader{config: config}
 }
 
@@ -84,7 +89,7 @@
 	pg, err := rd.read(ctx, wait)
 	if err != nil {
 		rd.contact.Store(int32(Detached))
-		sleep(ctx, relayInterval)
+		rd.config.Pause(ctx, relayInterval)
 		return nil
 	}
 	rd.reached.Store(pg.Next)
@@ -104,7 +109,7 @@
 		return nil
 	case errors.Is(err, record.ErrCorrupt) && rd.corrupt < maxCorruptReads:
 		rd.corrupt++
-		sleep(ctx, relayInterval)
+		rd.config.Pause(ctx, relayInterval)
 		return nil
 	default:
 		return err
@@ -113,13 +118,15 @@
 
 func (rd *Reader) read(ctx context.Context, wait time.Duration) (Page, error) {
 	from := rd.config.Replica.Offset() + 1
-	if time.Since(rd.failedAt) >= directRetry {
+	now := rd.config.Clock()
+	if rd.failedAt == 0 || now-rd.failedAt >= directRetry {
 		pg, err := rd.readDirect(ctx, from, wait)
 		if err == nil {
 			rd.contact.Store(int32(Direct))
+			rd.failedAt = 0
 			return pg, nil
 		}
-		rd.failedAt = time.Now()
+		rd.failedAt = max(1, rd.config.Clock())
 	}
 	rctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -129,7 +136,7 @@
 	}
 	rd.contact.Store(int32(Relayed))
 	if len(pg.Entries) == 0 {
-		sleep(ctx, relayInterval)
+		rd.config.Pause(ctx, relayInterval)
 	}
 	return pg, nil
 }
@@ -148,7 +155,7 @@
 	}
 	if err != nil {
 		rd.config.Logger.Error(err, "no checkpoint", "event", "checkpointMissing")
-		sleep(ctx, directRetry)
+		rd.config.Pause(ctx, directRetry)
 		return
 	}
 	rd.config.Replica.Install(st)
@@ -177,6 +184,7 @@
 	return ErrUnreachable
 }
 
+// sleep waits for the delay or the end of the context.
 func sleep(ctx context.Context, delay time.Duration) {
 	ti := time.NewTimer(delay)
 	defer ti.Stop()
--- a/pkg/oplog/writer.go
+++ b/pkg/oplog/writer.go
@@ -26,6 +26,9 @@
 	Build(now time.Duration, sequence int64) []record.Record
 }
 
+// Pause waits for a delay or the end of a context; where a configuration has none, real time is waited for.
+type Pause func(ctx context.Context, delay time.Duration)
+
 // Clock returns the monotonic time since the process started.
 type Clock func() time.Duration
 
@@ -37,6 +40,7 @@
 	Incarnation int64
 	Source      Source
 	Clock       Clock
+	Pause       Pause
 	Logger      logr.Logger
 	// FlushInterval is the time between batches without an urgent record.
 	FlushInterval time.Duration
@@ -79,6 +83,9 @@
 
 // NewWriter returns a writer whose incarnation was just opened.
 func NewWriter(config WriterConfig) *Writer {
+	if config.Pause == nil {
+		config.Pause = sleep
+	}
 	return &Writer{
 		config: config,
 		queue:  make(chan record.Record, queueRecords),
@@ -160,7 +167,7 @@
 // Step resends what was not acknowledged and then appends one batch if the window has room.
 func (wr *Writer) Step(ctx context.Context) {
 	if !wr.resend(ctx) {
-		sleep(ctx, appendBackoff)
+		wr.config.Pause(ctx, appendBackoff)
 		return
 	}
 	fl, err := wr.build()
@@ -184,7 +191,7 @@
 	case <-wr.urgent:
 	}
 	for wr.delay() > 0 && ctx.Err() == nil {
-		sleep(ctx, wr.delay())
+		wr.config.Pause(ctx, wr.delay())
 	}
 }
 
