--- /dev/null
+++ b/internal/cmds/client_test.go
@@ -0,0 +1,257 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"github.com/clementineweir/clementineweir/internal/daemon"
+	"github.com/clementineweir/clementineweir/internal/fakes"
+	"github.com/clementineweir/clementineweir/pkg/ticket"
+)
+
+const testInstances = 4
+
+// fleet is a deployment on loopback ports.
+type fleet struct {
+	plan    plan
+	em      *fakes.Emulator
+	daemons []*daemon.Daemon
+	cancels []context.CancelFunc
+	done    []chan error
+}
+
+// startFleet runs the instances and the stand-ins on free ports.
+func startFleet(t *testing.T) *fleet {
+	t.Helper()
+	de, _ := fakes.FindDeployment("birligi")
+	fl := &fleet{plan: plan{deployment: de, base: freeBase(t), instances: testInstances}}
+	em, err := startStandIns(context.Background(), fl.plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fl.em = em
+	for ix := range testInstances {
+		se := fl.plan.settings(ix)
+		da, err := daemon.New(daemon.Config{
+			Settings: se, Network: daemon.NewSystemNetwork(), Clock: daemon.NewSystemClock(), Logger: newLogger(io.Discard, false),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- da.Run(ctx) }()
+		fl.daemons, fl.cancels, fl.done = append(fl.daemons, da), append(fl.cancels, cancel), append(fl.done, done)
+	}
+	if err := awaitReady(context.Background(), fl.plan); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fl.stop)
+	return fl
+}
+
+func (fl *fleet) stop() {
+	for _, cancel := range fl.cancels {
+		cancel()
+	}
+	for _, done := range fl.done {
+		err := <-done
+		done <- err
+	}
+	fl.em.Close()
+}
+
+// freeBase finds a base port from which all ports of a deployment are free.
+func freeBase(t *testing.T) int {
+	t.Helper()
+	for base := 20000; base < 60000; base += 1500 {
+		if allFree(base) {
+			return base
+		}
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
+func allFree(base int) bool {
+	for _, offset := range []int{0, operatorPorts, peerPorts, platformPort, endpointPorts} {
+		for ix := range 16 {
+			li, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopback, base+offset+ix))
+			if err != nil {
+				return false
+			}
+			_ = li.Close()
+		}
+	}
+	return true
+}
+
+func (fl *fleet) client(index int) openai.Client {
+	return openai.NewClient(
+		option.WithBaseURL("http://"+fl.plan.address(0, index)+"/v1"),
+		option.WithAPIKey(fakes.ExampleKey), option.WithMaxRetries(0),
+	)
+}
+
+func chatParams(prompt string) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model: fakes.ExampleModel, Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage(prompt)},
+	}
+}
+
+// ask makes one call, streamed or whole, and returns its text and cost.
+func (fl *fleet) ask(index int, prompt string, stream bool) (string, int64, error) {
+	cl := fl.client(index)
+	if !stream {
+		rs, err := cl.Chat.Completions.New(context.Background(), chatParams(prompt))
+		if err != nil {
+			return "", 0, err
+		}
+		return rs.Choices[0].Message.Content, rs.Usage.TotalTokens, nil
+	}
+	params := chatParams(prompt)
+	params.StreamOptions.IncludeUsage = openai.Bool(true)
+	st := cl.Chat.Completions.NewStreaming(context.Background(), params)
+	var sb strings.Builder
+	tokens := int64(0)
+	for st.Next() {
+		ch := st.Current()
+		tokens += ch.Usage.TotalTokens
+		for _, co := range ch.Choices {
+			sb.WriteString(co.Delta.Content)
+		}
+	}
+	return sb.String(), tokens, st.Err()
+}
+
+// TestOfficialClient checks 1,000 answers through four instances, their bills and the runs of the endpoints.
+func TestOfficialClient(t *testing.T) {
+	fl := startFleet(t)
+	const calls, parallel = 1000, 64
+	var mu sync.Mutex
+	total := int64(0)
+	slots := make(chan struct{}, parallel)
+	var wg sync.WaitGroup
+	for ix := range calls {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			prompt := fmt.Sprintf("question %d answer=%d", ix, ix%20+1)
+			got, tokens, err := fl.ask(ix%testInstances, prompt, ix%2 == 0)
+			want := strings.Join(fakes.Words(prompt, 0), "")
+			if diff := cmp.Diff(want, got); err != nil || diff != "" {
+				t.Errorf("call %d: %v %s", ix, err, diff)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			total += tokens
+		})
+	}
+	wg.Wait()
+	runs, ran := fl.runs()
+	if runs != calls || ran != total {
+		t.Errorf("endpoints ran %d requests of %d tokens, the callers received %d of %d", runs, ran, calls, total)
+	}
+	awaitFor(t, "every token billed", func() bool { return fl.billed("team-1") == total })
+}
+
+func (fl *fleet) runs() (count int, tokens int64) {
+	for _, ru := range fl.em.Runners {
+		for _, rc := range ru.Runs() {
+			count++
+			tokens += int64(rc.PromptTokens + rc.CompletionTokens)
+		}
+	}
+	return count, tokens
+}
+
+func (fl *fleet) billed(budget string) int64 {
+	for _, bu := range fl.daemons[0].Status().Budgets {
+		if bu.Name == budget {
+			return bu.Billed
+		}
+	}
+	return 0
+}
+
+func awaitFor(t *testing.T, what string, fn func() bool) {
+	t.Helper()
+	for range 600 {
+		if fn() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Errorf("did not happen: %s", what)
+}
+
+func TestOfficialClientSeesTypedErrors(t *testing.T) {
+	fl := startFleet(t)
+	cl := fl.client(0)
+	params := chatParams("hello")
+	params.Model = "no-such-model"
+	_, err := cl.Chat.Completions.New(context.Background(), params)
+	var ae *openai.Error
+	if !errors.As(err, &ae) {
+		t.Fatalf("not the client's error: %v", err)
+	}
+	got := []any{ae.StatusCode, ae.Code, ae.Response.Header.Get("X-Verdict")}
+	if diff := cmp.Diff([]any{http.StatusNotFound, "not_found", "notRun"}, got); diff != "" {
+		t.Error(diff)
+	}
+	models, err := cl.Models.List(context.Background())
+	if err != nil || len(models.Data) != 2 {
+		t.Errorf("models: %v %v", models, err)
+	}
+}
+
+// TestDrainCutsNothing stops an instance with 100 open streams.
+func TestDrainCutsNothing(t *testing.T) {
+	fl := startFleet(t)
+	const streams = 100
+	var wg sync.WaitGroup
+	for ix := range streams {
+		wg.Go(func() {
+			prompt := fmt.Sprintf("long %d answer=150", ix)
+			got, _, err := fl.ask(0, prompt, true)
+			if want := strings.Join(fakes.Words(prompt, 0), ""); err != nil || got != want {
+				t.Errorf("stream %d was cut after %d of %d bytes: %v", ix, len(got), len(want), err)
+			}
+		})
+	}
+	awaitFor(t, "all streams running", func() bool { runs, _ := fl.runs(); return runs == streams })
+	fl.cancels[0]()
+	awaitFor(t, "readiness gone", func() bool { return !fl.daemons[0].Ready() })
+	wg.Wait()
+	if err := <-fl.done[0]; err != nil {
+		t.Errorf("the drain failed: %v", err)
+	}
+	fl.done[0] <- nil
+	awaitFor(t, "the incarnation closed without loss", func() bool {
+		st := fl.daemons[1].Status()
+		return len(st.Members) == testInstances-1 && st.Budgets[0].WrittenOff == 0
+	})
+}
+
+func TestTicketInForceOnEveryInstance(t *testing.T) {
+	fl := startFleet(t)
+	ti := ticket.Ticket{Number: 2, Author: "operator", Budgets: []ticket.Budget{{Name: "team-1", Team: "team-1", PrepaidTokens: 77}}}
+	if _, err := PublishTicket(context.Background(), fl.em.Log, ti); err != nil {
+		t.Fatal(err)
+	}
+	for _, da := range fl.daemons {
+		awaitFor(t, "the new total in force", func() bool { return da.Status().Budgets[0].Prepaid == 77 })
+	}
+}
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -97,11 +97,11 @@
 		pa.add(id, "is not a setting")
 		return
 	}
+	pa.given = append(pa.given, id)
 	if len(pa.lines[id]) > 1 {
 		pa.add(id, "stands %d times", len(pa.lines[id]))
 		return
 	}
-	pa.given = append(pa.given, id)
 	if err := sg.assign(&pa.settings, ke.String()); err != nil {
 		pa.add(id, "%s", err)
 	}
--- /dev/null
+++ b/pkg/ledger/ledger_test.go
@@ -0,0 +1,89 @@
+package ledger
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/clementineweir/clementineweir/pkg/record"
+	"github.com/clementineweir/clementineweir/pkg/ticket"
+)
+
+// put folds one entry at the next offset.
+func (st *State) put(t testing.TB, en record.Entry) int64 {
+	t.Helper()
+	data, err := record.EncodeEntry(en)
+	if err != nil {
+		t.Fatal(err)
+	}
+	offset := st.Offset() + 1
+	if _, err := st.Apply(offset, data); err != nil {
+		t.Fatal(err)
+	}
+	return offset
+}
+
+func budgetTicket(number, prepaid int64) record.Entry {
+	return record.Entry{Ticket: &ticket.Ticket{
+		Number: number, Author: "a", Budgets: []ticket.Budget{{Name: "b", Team: "t", PrepaidTokens: prepaid}},
+	}}
+}
+
+func TestGreatestTicketNumberWins(t *testing.T) {
+	tests := []struct {
+		name     string
+		tickets  []record.Entry
+		prepaid  int64
+		accepted []bool
+	}{
+		{"in order", []record.Entry{budgetTicket(1, 10), budgetTicket(2, 20)}, 20, []bool{true, true}},
+		{"late", []record.Entry{budgetTicket(2, 20), budgetTicket(1, 10)}, 20, []bool{true, true}},
+		{"one number twice", []record.Entry{budgetTicket(1, 10), budgetTicket(1, 30)}, 10, []bool{true, false}},
+		{"repeated", []record.Entry{budgetTicket(1, 10), budgetTicket(1, 10)}, 10, []bool{true, false}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			st := NewState()
+			for _, en := range tt.tickets {
+				st.put(t, en)
+			}
+			var accepted []bool
+			for _, au := range st.Audit() {
+				accepted = append(accepted, au.Accepted)
+			}
+			bu, _ := st.Budget("b")
+			if diff := cmp.Diff(tt.prepaid, bu.Prepaid) + cmp.Diff(tt.accepted, accepted); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestRepeatedBillIsWrittenOff bills one key from two incarnations.
+func TestRepeatedBillIsWrittenOff(t *testing.T) {
+	st := NewState()
+	st.put(t, budgetTicket(1, 100))
+	for ix, address := range []string{"x", "y"} {
+		inc := st.put(t, record.Entry{Join: &record.Join{Nonce: address, Address: address, Anchor: st.Offset()}})
+		st.put(t, record.Entry{Batch: &record.Batch{Incarnation: inc, Sequence: 1, Records: []record.Record{
+			{Claim: &record.Claim{Budget: "b", Need: 50}},
+			{Settle: &record.Settle{Budget: "b", Bills: []record.Bill{{Key: "k", Tokens: int64(10 + ix), Kept: true}}}},
+		}}})
+	}
+	bu, _ := st.Budget("b")
+	if diff := cmp.Diff([]int64{10, 11, 0}, []int64{bu.Billed, bu.WrittenOff, bu.Overspent}); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestLateJoinClosesNothing delivers a copy of a dead process's join after its successor joined on the same address.
+func TestLateJoinClosesNothing(t *testing.T) {
+	st := NewState()
+	late := record.Entry{Join: &record.Join{Nonce: "late", Address: "x", Anchor: st.Offset()}}
+	successor := st.put(t, record.Entry{Join: &record.Join{Nonce: "new", Address: "x", Anchor: st.Offset()}})
+	st.put(t, late)
+	inc, ok := st.Incarnation(successor)
+	if !ok || inc.Proof != Unproved {
+		t.Errorf("the successor was taken for dead: %v %v", ok, inc)
+	}
+}
