--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
@@ -16,6 +17,24 @@
 type Recorder struct {
 	set    *metrics.Set
 	logger logr.Logger
+	cache  sync.Map
+}
+
+// series names the metrics of the requests that share a verdict, a class and a team.
+type series struct {
+	verdict string
+	class   string
+	team    string
+}
+
+// seriesMetrics are the metrics of one series, looked up once.
+type seriesMetrics struct {
+	requests *metrics.Counter
+	retries  *metrics.Counter
+	refusals *metrics.Counter
+	tokens   *metrics.Counter
+	duration *metrics.Histogram
+	first    *metrics.Histogram
 }
 
 // NewRecorder returns a recorder that has counted nothing.
@@ -35,19 +54,20 @@
 func (re *Recorder) Finished(fi engine.Finish) {
 	rq := fi.Request
 	verdict, kind := verdictOf(fi.Err)
-	re.counter("weir_requests_total{verdict=%q,class=%q,team=%q}", verdict, rq.Class, rq.Team).Inc()
-	re.histogram("weir_request_duration_seconds{class=%q}", rq.Class).Update(fi.Total.Seconds())
+	sm := re.metricsOf(series{verdict: verdict, class: rq.Class, team: rq.Team})
+	sm.requests.Inc()
+	sm.duration.Update(fi.Total.Seconds())
 	if fi.First > 0 {
-		re.histogram("weir_first_chunk_duration_seconds{class=%q}", rq.Class).Update(fi.First.Seconds())
+		sm.first.Update(fi.First.Seconds())
 	}
 	if fi.Attempts > 1 {
-		re.counter("weir_retries_total{class=%q}", rq.Class).Add(fi.Attempts - 1)
+		sm.retries.Add(fi.Attempts - 1)
 	}
 	if fi.FalseRefusal {
-		re.counter("weir_false_refusals_total{team=%q}", rq.Team).Inc()
+		sm.refusals.Inc()
 	}
 	if fi.Err == nil {
-		re.counter("weir_answered_tokens_total{team=%q}", rq.Team).AddInt64(fi.Usage.Tokens())
+		sm.tokens.AddInt64(fi.Usage.Tokens())
 		re.logger.V(1).Info("request answered", "event", "requestAnswered", "request", rq.ID, "team", rq.Team,
 			"class", rq.Class, "endpoint", fi.Endpoint, "attempts", fi.Attempts, "duration", fi.Total.String(), "tokens", fi.Usage.Tokens())
 		return
@@ -68,6 +88,23 @@
 	return fa.Verdict().String(), int(fa.Kind())
 }
 
+// metricsOf returns the metrics of a series.
+func (re *Recorder) metricsOf(se series) *seriesMetrics {
+	if sm, ok := re.cache.Load(se); ok {
+		return sm.(*seriesMetrics)
+	}
+	sm := &seriesMetrics{
+		requests: re.counter("weir_requests_total{verdict=%q,class=%q,team=%q}", se.verdict, se.class, se.team),
+		retries:  re.counter("weir_retries_total{class=%q}", se.class),
+		refusals: re.counter("weir_false_refusals_total{team=%q}", se.team),
+		tokens:   re.counter("weir_answered_tokens_total{team=%q}", se.team),
+		duration: re.histogram("weir_request_duration_seconds{class=%q}", se.class),
+		first:    re.histogram("weir_first_chunk_duration_seconds{class=%q}", se.class),
+	}
+	re.cache.Store(se, sm)
+	return sm
+}
+
 func (re *Recorder) counter(format string, args ...any) *metrics.Counter {
 	return re.set.GetOrCreateCounter(fmt.Sprintf(format, args...))
 }
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -149,6 +149,7 @@
 	ru := &run{engine: en, request: rq, start: en.config.Clock()}
 	cl, ok := en.Directory().Class(rq.Class)
 	if !ok {
+		ru.request.Class = unknownClass
 		return ru, fault.New(fault.Invalid, fault.NotRun, "the request class does not exist")
 	}
 	ru.class = cl
@@ -183,4 +184,7 @@
 	return fault.New(fault.Quarantined, ve, "requests with this content crashed endpoints and are refused")
 }
 
+// unknownClass stands in logs and metrics for every class name that does not exist.
+const unknownClass = "unknown"
+
 func random() uint64 { return rand.Uint64() }
