--- /dev/null
+++ b/weir_test.go
@@ -0,0 +1,52 @@
+package weir_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	weir "github.com/clementineweir/clementineweir"
+	"github.com/clementineweir/clementineweir/internal/fakes"
+	"github.com/clementineweir/clementineweir/pkg/escrow"
+	"github.com/clementineweir/clementineweir/pkg/oplog"
+	"github.com/clementineweir/clementineweir/pkg/record"
+	"github.com/clementineweir/clementineweir/pkg/ticket"
+)
+
+// Example spends from a prepaid budget over a log in memory.
+func Example() {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	log := fakes.NewLog()
+	paid := ticket.Ticket{Number: 1, Author: "operator", Budgets: []ticket.Budget{{Name: "grants", Team: "t", PrepaidTokens: 100}}}
+	data, _ := record.EncodeEntry(record.Entry{Ticket: &paid})
+	_, _ = log.Append(ctx, oplog.MainStream, data)
+
+	start := time.Now()
+	ke, err := weir.Open(ctx, weir.Config{
+		Name: "one", Address: "10.0.0.1:1", Log: log, Budgets: escrow.DefaultConfig(), Logger: logr.Discard(),
+		Clock: func() time.Duration { return time.Since(start) },
+	})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	go func() { _ = ke.Run(ctx) }()
+
+	re, ok := ke.Reserve("grants", 60)
+	for !ok {
+		time.Sleep(10 * time.Millisecond)
+		re, ok = ke.Reserve("grants", 60)
+	}
+	ke.Settle(re, escrow.Cost{Key: "request-1", Billed: 40})
+	_, tooMuch := ke.Reserve("grants", 61)
+	bu, _ := ke.Budget("grants")
+	for bu.Billed == 0 {
+		time.Sleep(10 * time.Millisecond)
+		bu, _ = ke.Budget("grants")
+	}
+	fmt.Println("billed", bu.Billed, "of", bu.Prepaid, "- 61 more:", tooMuch)
+	// Output: billed 40 of 100 - 61 more: false
+}
