--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -29,8 +29,6 @@
 	LogAddress  string
 	ListAddress string
 	Seeds       []string
-	// DelistedMeansDead states that an instance which left the platform's list has ended.
-	DelistedMeansDead bool
 }
 
 // Callers bounds what callers may send.
--- a/internal/config/table.go
+++ b/internal/config/table.go
@@ -47,7 +47,6 @@
 	{"platform", "logAddress", webAddress, "", true, 0, "URL of the log service.", func(se *Settings) any { return &se.Platform.LogAddress }},
 	{"platform", "listAddress", webAddress, "", false, 0, "URL of the instance list; empty uses none.", func(se *Settings) any { return &se.Platform.ListAddress }},
 	{"platform", "seeds", addressList, "", false, 0, "Peer addresses, separated by commas, through which the log is reached before the first read.", func(se *Settings) any { return &se.Platform.Seeds }},
-	{"platform", "delistedMeansDead", flag, "false", false, 0, "Whether leaving the platform's list proves that an instance has ended.", func(se *Settings) any { return &se.Platform.DelistedMeansDead }},
 	{"callers", "maxBodyBytes", number, "8388608", false, 1, "Largest request body in bytes.", func(se *Settings) any { return &se.Callers.MaxBodyBytes }},
 	{"callers", "bodyTimeout", duration, "30s", false, minDuration, "Longest time in which a request body may arrive.", func(se *Settings) any { return &se.Callers.BodyTimeout }},
 	{"callers", "headerTimeout", duration, "5s", false, minDuration, "Longest time in which request headers may arrive.", func(se *Settings) any { return &se.Callers.HeaderTimeout }},
--- a/pkg/ledger/incarnation.go
+++ b/pkg/ledger/incarnation.go
@@ -138,7 +138,7 @@
 
 func (st *State) applyClose(closer int64, cl record.Close) {
 	inc, ok := st.incarnations[cl.Incarnation]
-	if !ok || cl.Incarnation == closer || (inc.Proof == Unproved && !cl.Delisted) {
+	if !ok || cl.Incarnation == closer || inc.Proof == Unproved {
 		return
 	}
 	if cl.Elapsed < 0 {
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -122,7 +122,6 @@
 type Close struct {
 	Incarnation int64         `cbor:"incarnation"`
 	Elapsed     time.Duration `cbor:"elapsed"`
-	Delisted    bool          `cbor:"delisted,omitempty"`
 }
 
 // Leave closes the incarnation that writes it, after its last settlement.
