One wait for grants, used by the engine and the facade

Cause: the facade's example took up to 9.7 s on a busy machine: it registered its wait and left again before a batch was built, so that the claim was left to chance. Change: escrow.Wait, taken out of the engine, serves both. Conclusion: the same logic stood twice, and the copy was wrong.

--- a/pkg/engine/run.go
+++ b/pkg/engine/run.go
@@ -63,27 +63,18 @@
 func (ru *run) reserve(ctx context.Context) (escrow.Reservation, error) {
 	en := ru.engine
 	re := escrow.Reservation{Budget: ru.request.Budget, Tokens: ru.cost}
-	if ru.cost == 0 || en.config.Book.Reserve(en.config.Clock(), re.Budget, re.Tokens) {
+	err := escrow.Wait(ctx, escrow.WaitConfig{
+		Book: en.config.Book, Clock: en.config.Clock, Wake: en.log.Wake, Exhausted: en.exhausted,
+	}, re)
+	switch {
+	case err == nil:
 		return re, nil
-	}
-	changed := en.config.Book.Await(en.config.Clock(), re.Budget, re.Tokens)
-	defer en.config.Book.Leave(re.Budget, re.Tokens)
-	en.log.Wake()
-	for {
-		if en.exhausted(re) {
-			return re, fault.New(fault.BudgetExhausted, fault.NotRun, "the prepaid budget does not cover the request")
-		}
-		if en.config.Book.Reserve(en.config.Clock(), re.Budget, re.Tokens) {
-			return re, nil
-		}
-		select {
-		case <-ctx.Done():
-			ru.falseRefusal = true
-			return re, fault.New(fault.Unavailable, fault.NotRun, "the prepaid budget is not exhausted, but no grant was to be had in time").
-				WithRetryAfter(time.Second)
-		case <-changed:
-		}
-		changed = en.config.Book.Rejoin(re.Budget)
+	case errors.Is(err, escrow.ErrExhausted):
+		return re, fault.New(fault.BudgetExhausted, fault.NotRun, "the prepaid budget does not cover the request")
+	default:
+		ru.falseRefusal = true
+		return re, fault.New(fault.Unavailable, fault.NotRun, "the prepaid budget is not exhausted, but no grant was to be had in time").
+			WithRetryAfter(time.Second)
 	}
 }
 
--- a/weir.go
+++ b/weir.go
@@ -36,8 +36,8 @@
 
 // Keeper spends from prepaid budgets on behalf of one process; it is safe for concurrent use.
 type Keeper interface {
-	// Reserve takes tokens out of the budget, or reports that they are not to be had now.
-	Reserve(budget string, tokens int64) (escrow.Reservation, bool)
+	// Reserve takes tokens out of the budget, waiting for them until the context ends; it fails with escrow.ErrExhausted or escrow.ErrNoGrant.
+	Reserve(ctx context.Context, budget string, tokens int64) (escrow.Reservation, error)
 	// Settle ends a reservation with its cost.
 	Settle(re escrow.Reservation, co escrow.Cost)
 	// Budget returns the agreed figures of a budget.
@@ -82,16 +82,18 @@
 	en.Bind(ke.writer)
 }
 
-func (ke *keeper) Reserve(budget string, tokens int64) (escrow.Reservation, bool) {
-	now := ke.config.Clock()
+func (ke *keeper) Reserve(ctx context.Context, budget string, tokens int64) (escrow.Reservation, error) {
 	re := escrow.Reservation{Budget: budget, Tokens: tokens}
-	if ke.book.Reserve(now, budget, tokens) {
-		return re, true
-	}
-	ke.book.Await(now, budget, tokens)
-	ke.writer.Wake()
-	ke.book.Leave(budget, tokens)
-	return re, false
+	err := escrow.Wait(ctx, escrow.WaitConfig{
+		Book: ke.book, Clock: ke.config.Clock, Wake: ke.writer.Wake, Exhausted: ke.exhausted,
+	}, re)
+	return re, err
+}
+
+// exhausted reports whether the budget cannot cover the reservation even when every grant is returned.
+func (ke *keeper) exhausted(re escrow.Reservation) bool {
+	bu, ok := ke.Budget(re.Budget)
+	return !ok || bu.Removed || bu.Prepaid-bu.Billed-bu.WrittenOff < re.Tokens
 }
 
 func (ke *keeper) Settle(re escrow.Reservation, co escrow.Cost) {
--- a/weir_test.go
+++ b/weir_test.go
@@ -35,18 +35,14 @@
 	}
 	go func() { _ = ke.Run(ctx) }()
 
-	re, ok := ke.Reserve("grants", 60)
-	for !ok {
-		time.Sleep(10 * time.Millisecond)
-		re, ok = ke.Reserve("grants", 60)
+	re, err := ke.Reserve(ctx, "grants", 60)
+	if err != nil {
+		fmt.Println(err)
+		return
 	}
 	ke.Settle(re, escrow.Cost{Key: "request-1", Billed: 40})
-	_, tooMuch := ke.Reserve("grants", 61)
+	_, err = ke.Reserve(ctx, "grants", 61)
 	bu, _ := ke.Budget("grants")
-	for bu.Billed == 0 {
-		time.Sleep(10 * time.Millisecond)
-		bu, _ = ke.Budget("grants")
-	}
-	fmt.Println("billed", bu.Billed, "of", bu.Prepaid, "- 61 more:", tooMuch)
-	// Output: billed 40 of 100 - 61 more: false
+	fmt.Println("billed", bu.Billed, "of", bu.Prepaid, "tokens; 61 more:", err)
+	// Output: billed 40 of 100 tokens; 61 more: the prepaid budget does not cover the reservation
 }
