Kept answers bounded by size; small clean-ups

Cause: reading the code again: 200,000 kept answers of 32 KiB would take 6.4 GB. Before: 6.4 GB at worst by arithmetic. After: 64 MiB; a test resolves 2,200 answers of 32 KiB and the oldest is forgotten, the newest kept.

--- a/pkg/engine/run.go
+++ b/pkg/engine/run.go
@@ -83,7 +83,7 @@
 	exhausted := false
 	en.config.Replica.View(func(st *ledger.State) {
 		bu, ok := st.Budget(re.Budget)
-		exhausted = !ok || bu.Removed || bu.Prepaid-bu.Billed-bu.WrittenOff < re.Tokens
+		exhausted = !ok || !bu.Covers(re.Tokens)
 	})
 	return exhausted
 }
--- a/pkg/ledger/budget.go
+++ b/pkg/ledger/budget.go
@@ -19,6 +19,11 @@
 	Removed    bool
 }
 
+// Covers reports whether the budget can pay for the tokens once every grant is returned.
+func (bu Budget) Covers(tokens int64) bool {
+	return !bu.Removed && bu.Prepaid-bu.Billed-bu.WrittenOff >= tokens
+}
+
 // Holding is an immutable view of what one incarnation holds of a budget, in tokens.
 type Holding struct {
 	Incarnation int64
@@ -275,7 +280,7 @@
 	if bi.Tokens < 0 {
 		return
 	}
-	if bi.Kept && !st.requests.bill(bi.Key, number, st.offset) {
+	if bi.Kept && !st.requests.bill(bi.Key, number) {
 		ho.WrittenOff += bi.Tokens
 		st.emit(Event{Kind: BillRepeated, Incarnation: number, Budget: name, Key: bi.Key, Tokens: bi.Tokens})
 		return
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -1,10 +1,12 @@
 package ledger
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/clementineweir/clementineweir/pkg/fault"
 	"github.com/clementineweir/clementineweir/pkg/record"
 	"github.com/clementineweir/clementineweir/pkg/ticket"
 )
@@ -87,3 +89,23 @@
 		t.Errorf("the successor was taken for dead: %v %v", ok, inc)
 	}
 }
+
+// TestKeptAnswersAreBounded resolves more requests than the state may keep answers of.
+func TestKeptAnswersAreBounded(t *testing.T) {
+	const answers, size = 2200, 32 << 10
+	st := NewState()
+	inc := st.put(t, record.Entry{Join: &record.Join{Nonce: "n", Address: "x", Anchor: st.Offset()}})
+	for ix := range answers {
+		key := fmt.Sprintf("key-%d", ix)
+		st.put(t, record.Entry{Batch: &record.Batch{Incarnation: inc, Sequence: int64(ix + 1), Records: []record.Record{
+			{Intent: &record.Intent{Key: key}},
+			{Outcome: &record.Outcome{Key: key, Verdict: fault.Ran, Body: make([]byte, size), Complete: true}},
+		}}})
+	}
+	_, oldest := st.Request("key-0")
+	_, newest := st.Request(fmt.Sprintf("key-%d", answers-1))
+	got := []bool{st.requests.bytes <= MaxKeptBytes, oldest, newest}
+	if diff := cmp.Diff([]bool{true, false, true}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/pkg/ledger/numbers.go
+++ b/pkg/ledger/numbers.go
@@ -1,6 +1,9 @@
 package ledger
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // span is a range of ticket numbers, both ends included.
 type span struct {
@@ -19,7 +22,7 @@
 // search returns the index of the first span that ends at or after the number.
 func (ns numberSet) search(number int64) int {
 	ix, _ := slices.BinarySearchFunc(ns, number, func(sp span, num int64) int {
-		return compare(sp.Last, num)
+		return cmp.Compare(sp.Last, num)
 	})
 	return ix
 }
@@ -45,16 +48,3 @@
 		return slices.Insert(ns, ix, span{First: number, Last: number})
 	}
 }
-
-func compare(aa, bb int64) int {
-	switch {
-	case aa < bb:
-		return -1
-	case aa > bb:
-		return 1
-	default:
-		return 0
-	}
-}
-
-func sortStrings(list []string) { slices.Sort(list) }
--- a/pkg/ledger/request.go
+++ b/pkg/ledger/request.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"slices"
+
 	"github.com/clementineweir/clementineweir/pkg/fault"
 	"github.com/clementineweir/clementineweir/pkg/record"
 )
@@ -8,6 +10,9 @@
 // MaxKeptRequests bounds how many resolved requests the state remembers by key.
 const MaxKeptRequests = 200_000
 
+// MaxKeptBytes bounds the answers that the state keeps for retries.
+const MaxKeptBytes = 64 << 20
+
 // Phase says how far a keyed request got.
 type Phase uint8
 
@@ -35,6 +40,8 @@
 type requestTable struct {
 	byKey map[string]Request
 	order []string
+	// bytes is the size of the answers of the keys in order.
+	bytes int
 }
 
 func newRequestTable() requestTable { return requestTable{byKey: map[string]Request{}} }
@@ -46,25 +53,31 @@
 }
 
 // bill marks the key as billed and reports whether this is its first bill.
-func (rt *requestTable) bill(key string, number, _ int64) bool {
+func (rt *requestTable) bill(key string, number int64) bool {
 	rq, ok := rt.byKey[key]
 	if ok && rq.Billed {
 		return false
 	}
+	rq.Billed = true
 	if !ok {
-		rq = Request{Incarnation: number, Phase: BilledOnly}
-		rt.keep(key)
+		rq.Incarnation = number
+		rq.Phase = BilledOnly
 	}
-	rq.Billed = true
 	rt.byKey[key] = rq
+	if !ok {
+		rt.keep(key)
+	}
 	return true
 }
 
 // keep remembers a key that needs no further record and forgets the oldest ones.
 func (rt *requestTable) keep(key string) {
 	rt.order = append(rt.order, key)
-	for len(rt.order) > MaxKeptRequests {
-		delete(rt.byKey, rt.order[0])
+	rt.bytes += len(rt.byKey[key].Outcome.Body)
+	for len(rt.order) > MaxKeptRequests || rt.bytes > MaxKeptBytes {
+		oldest := rt.order[0]
+		rt.bytes -= len(rt.byKey[oldest].Outcome.Body)
+		delete(rt.byKey, oldest)
 		rt.order = rt.order[1:]
 	}
 }
@@ -87,7 +100,7 @@
 			keys = append(keys, key)
 		}
 	}
-	sortStrings(keys)
+	slices.Sort(keys)
 	return keys
 }
 
--- a/pkg/ledger/suspect.go
+++ b/pkg/ledger/suspect.go
@@ -37,7 +37,7 @@
 			list = append(list, hash)
 		}
 	}
-	sortStrings(list)
+	slices.Sort(list)
 	return list
 }
 
--- a/weir.go
+++ b/weir.go
@@ -93,7 +93,7 @@
 // exhausted reports whether the budget cannot cover the reservation even when every grant is returned.
 func (ke *keeper) exhausted(re escrow.Reservation) bool {
 	bu, ok := ke.Budget(re.Budget)
-	return !ok || bu.Removed || bu.Prepaid-bu.Billed-bu.WrittenOff < re.Tokens
+	return !ok || !bu.Covers(re.Tokens)
 }
 
 func (ke *keeper) Settle(re escrow.Reservation, co escrow.Cost) {
