A forgotten answer keeps its key

Cause: the bound on kept answers also forgot their keys, so after 2,048 answers of 32 KiB a retry could have run again. Before: the key of the oldest of 2,200 was free. After: it is known, without answer.

--- a/pkg/ledger/checkpoint.go
+++ b/pkg/ledger/checkpoint.go
@@ -97,7 +97,7 @@
 	maps.Copy(st.requests.byKey, sn.Requests)
 	st.requests.order = slices.Clone(sn.RequestOrder)
 	for _, key := range st.requests.order {
-		st.requests.bytes += len(st.requests.byKey[key].Outcome.Body)
+		st.requests.noteAnswer(key)
 	}
 	maps.Copy(st.suspects.endpoints, sn.Suspects)
 	st.suspects.order = slices.Clone(sn.SuspectOrder)
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -102,10 +102,10 @@
 			{Outcome: &record.Outcome{Key: key, Verdict: fault.Ran, Body: make([]byte, size), Complete: true}},
 		}}})
 	}
-	_, oldest := st.Request("key-0")
-	_, newest := st.Request(fmt.Sprintf("key-%d", answers-1))
-	got := []bool{st.requests.bytes <= MaxKeptBytes, oldest, newest}
-	if diff := cmp.Diff([]bool{true, false, true}, got); diff != "" {
+	oldest, known := st.Request("key-0")
+	newest, _ := st.Request(fmt.Sprintf("key-%d", answers-1))
+	got := []bool{st.requests.bytes <= MaxKeptBytes, known, oldest.Outcome.Complete, newest.Outcome.Complete}
+	if diff := cmp.Diff([]bool{true, true, false, true}, got); diff != "" {
 		t.Error(diff)
 	}
 }
--- a/pkg/ledger/request.go
+++ b/pkg/ledger/request.go
@@ -40,8 +40,9 @@
 type requestTable struct {
 	byKey map[string]Request
 	order []string
-	// bytes is the size of the answers of the keys in order.
-	bytes int
+	// answers are the keys whose answers are kept, in order, and bytes is the size of these answers.
+	answers []string
+	bytes   int
 }
 
 func newRequestTable() requestTable { return requestTable{byKey: map[string]Request{}} }
@@ -70,18 +71,40 @@
 	return true
 }
 
-// keep remembers a key that needs no further record and forgets the oldest ones.
+// keep remembers a key that needs no further record, and forgets the oldest keys and the oldest answers beyond the bounds.
 func (rt *requestTable) keep(key string) {
 	rt.order = append(rt.order, key)
-	rt.bytes += len(rt.byKey[key].Outcome.Body)
-	for len(rt.order) > MaxKeptRequests || rt.bytes > MaxKeptBytes {
-		oldest := rt.order[0]
-		rt.bytes -= len(rt.byKey[oldest].Outcome.Body)
-		delete(rt.byKey, oldest)
+	rt.noteAnswer(key)
+	for rt.bytes > MaxKeptBytes {
+		rt.dropAnswer()
+	}
+	for len(rt.order) > MaxKeptRequests {
+		if len(rt.answers) > 0 && rt.answers[0] == rt.order[0] {
+			rt.dropAnswer()
+		}
+		delete(rt.byKey, rt.order[0])
 		rt.order = rt.order[1:]
 	}
 }
 
+func (rt *requestTable) noteAnswer(key string) {
+	if size := len(rt.byKey[key].Outcome.Body); size > 0 {
+		rt.answers = append(rt.answers, key)
+		rt.bytes += size
+	}
+}
+
+// dropAnswer forgets the oldest answer but not its key, so that the request still runs at most once.
+func (rt *requestTable) dropAnswer() {
+	key := rt.answers[0]
+	rt.answers = rt.answers[1:]
+	rq := rt.byKey[key]
+	rt.bytes -= len(rq.Outcome.Body)
+	rq.Outcome.Body = nil
+	rq.Outcome.Complete = false
+	rt.byKey[key] = rq
+}
+
 // orphan marks the open requests of a closed incarnation.
 func (rt *requestTable) orphan(number int64) {
 	for _, key := range rt.openOf(number) {
