--- a/pkg/engine/property_test.go
+++ b/pkg/engine/property_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -323,6 +324,15 @@
 	return re
 }
 
+// propertySeed makes every run draw the same actions; -rapid.seed on the command line sets another.
+const propertySeed = "20261204"
+
+func init() {
+	if err := flag.Set("rapid.seed", propertySeed); err != nil {
+		panic(err)
+	}
+}
+
 // action is something that happens to the world, with how often it is drawn.
 type action struct {
 	weight int
