A leave is the last record of its batch; unused reservation total removed

Cause: found by reading the change again: submitted records went before those that the engine and the book add, so a leave could precede an outcome that was made between the last settlement and the drain; the fold would have orphaned that request and told a retry mayHaveRun. Change: what was submitted goes last. Book.Reserved and its counter had no caller and are gone. Before: the new test fails (leave first). After: it passes; all tests, among them the fault matrix, and the linter are green. Conclusion: the order belongs to the writer, so no caller has to mind it.

--- a/pkg/escrow/book.go
+++ b/pkg/escrow/book.go
@@ -33,8 +33,6 @@
 	Drain()
 	// Settled reports whether nothing is left to settle or to return.
 	Settled() bool
-	// Reserved returns the tokens reserved over all budgets.
-	Reserved() int64
 	// Account returns the figures of one budget.
 	Account(now time.Duration, budget string) Figures
 }
@@ -78,7 +76,6 @@
 	config    Config
 	accounts  map[string]*account
 	dirty     []*account
-	reserved  int64
 	lastBuild time.Duration
 	draining  bool
 	swept     time.Duration
@@ -101,7 +98,6 @@
 		return false
 	}
 	ac.reserved += tokens
-	bo.reserved += tokens
 	ac.notePeak(now, bo.config.SlackSpan)
 	bo.mark(ac)
 	return true
@@ -136,7 +132,6 @@
 	defer bo.mu.Unlock()
 	ac := bo.account(re.Budget)
 	ac.reserved -= re.Tokens
-	bo.reserved -= re.Tokens
 	ac.spent += co.Billed + co.WrittenOff
 	ac.writtenOff += co.WrittenOff
 	if co.Billed > 0 || co.Kept {
@@ -206,12 +201,6 @@
 	return true
 }
 
-func (bo *book) Reserved() int64 {
-	bo.mu.Lock()
-	defer bo.mu.Unlock()
-	return bo.reserved
-}
-
 func (bo *book) Account(now time.Duration, budget string) Figures {
 	bo.mu.Lock()
 	defer bo.mu.Unlock()
--- a/pkg/oplog/writer.go
+++ b/pkg/oplog/writer.go
@@ -218,8 +218,8 @@
 	}
 	anchor := wr.config.Replica.Offset()
 	now := wr.config.Clock()
-	records := wr.drainQueue()
-	records = append(records, wr.config.Source.Build(now, wr.next)...)
+	// What was submitted goes last, so that a leave follows every settlement and outcome of its batch.
+	records := append(wr.config.Source.Build(now, wr.next), wr.drainQueue()...)
 	if len(records) == 0 && now-wr.last < wr.config.Heartbeat {
 		return nil, nil
 	}
--- /dev/null
+++ b/pkg/oplog/writer_test.go
@@ -0,0 +1,52 @@
+package oplog
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/clementineweir/clementineweir/pkg/record"
+)
+
+// appendLog keeps the last entry that was appended.
+type appendLog struct {
+	last []byte
+}
+
+func (al *appendLog) Append(_ context.Context, _ string, data []byte) (int64, error) {
+	al.last = data
+	return 0, nil
+}
+
+func (al *appendLog) Read(context.Context, ReadRequest) (Page, error) { return Page{}, nil }
+
+// outcomeSource adds one outcome to each batch.
+type outcomeSource struct{}
+
+func (outcomeSource) Build(time.Duration, int64) []record.Record {
+	return []record.Record{{Outcome: &record.Outcome{Key: "k"}}}
+}
+
+// TestLeaveIsTheLastRecord submits a leave while an outcome waits: after the leave the outcome would be lost.
+func TestLeaveIsTheLastRecord(t *testing.T) {
+	al := &appendLog{}
+	wr := NewWriter(WriterConfig{
+		Log: al, Relay: NoRelay{}, Replica: NewReplica(), Source: outcomeSource{}, Logger: logr.Discard(),
+		Clock: func() time.Duration { return time.Second }, FlushInterval: time.Second, MinInterval: time.Second,
+	})
+	if err := wr.Submit(context.Background(), record.Record{Leave: &record.Leave{}}); err != nil {
+		t.Fatal(err)
+	}
+	wr.Step(context.Background())
+	en, err := record.DecodeEntry(al.last)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []record.Record{{Outcome: &record.Outcome{Key: "k"}}, {Leave: &record.Leave{}}}
+	if diff := cmp.Diff(want, en.Batch.Records); diff != "" {
+		t.Error(diff)
+	}
+}
