A registration that ends is doubted for two seconds after the store's return, no longer

Ruled out: unread records (the read at 17.2 s holds the removal). Change: doubt ends two seconds after the return, and with it every registration still missing; a registration with the sequence of a known one counts, an older one revives nothing.

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -41,7 +41,7 @@
 		now := di.edge.config.Clock()
 		if err != nil {
 			di.contact.failed(now, err)
-			di.edge.roster.Failed(now)
+			di.edge.roster.Failed()
 			pause(ctx, retryPause)
 			continue
 		}
@@ -99,6 +99,6 @@
 		}
 		en := ch.Endpoint
 		di.edge.config.Logger.Info("endpoint", "endpoint", en.ID, "service", en.Service, "address", en.Address,
-			"domain", en.Domain, "leaving", en.Leaving, "started", en.Started, "offset", di.view.Next())
+			"domain", en.Domain, "leaving", en.Leaving, "started", en.Started, "sequence", en.Sequence, "offset", di.view.Next())
 	}
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -12,8 +12,6 @@
 const (
 	// returnSpan is how long after the store's return a lapsed registration may take to come back: the platform's two seconds.
 	returnSpan = 2 * time.Second
-	// doubtSpan is how recently the store must have failed for a missing registration to be in doubt: three missed heartbeats are noticed with some delay.
-	doubtSpan = 5 * time.Second
 )
 
 // Endpoint is one registered life of an endpoint; it never changes.
@@ -37,8 +35,14 @@
 	sequence int64
 }
 
-func (he heartbeat) older(en *Endpoint) bool {
-	return he.started < en.Started || (he.started == en.Started && he.sequence < en.Sequence)
+// after reports whether the registration was written before this heartbeat.
+func (he heartbeat) after(en *Endpoint) bool {
+	return en.Started < he.started || (en.Started == he.started && en.Sequence < he.sequence)
+}
+
+// repeated reports whether the registration is the very one of this heartbeat.
+func (he heartbeat) repeated(en *Endpoint) bool {
+	return en.Started == he.started && en.Sequence == he.sequence
 }
 
 // alike reports whether placement need not tell both apart.
@@ -63,17 +67,18 @@
 type Roster struct {
 	mu      sync.Mutex
 	byID    map[string]*Endpoint
-	missing map[string]time.Duration
+	missing map[string]bool
 	// seen outlives the endpoints, so that a registration that arrives late revives none.
-	seen     map[string]heartbeat
-	failedAt time.Duration
-	failing  bool
-	services atomic.Pointer[map[string][]*Endpoint]
+	seen map[string]heartbeat
+	// returnedAt is when the store was last regained, or zero.
+	returnedAt time.Duration
+	failing    bool
+	services   atomic.Pointer[map[string][]*Endpoint]
 }
 
 // New returns a roster without endpoints.
 func New() *Roster {
-	ro := &Roster{byID: map[string]*Endpoint{}, missing: map[string]time.Duration{}, seen: map[string]heartbeat{}}
+	ro := &Roster{byID: map[string]*Endpoint{}, missing: map[string]bool{}, seen: map[string]heartbeat{}}
 	ro.publish()
 	return ro
 }
@@ -93,35 +98,28 @@
 }
 
 // Failed reports that the store could not be read.
-func (ro *Roster) Failed(now time.Duration) {
+func (ro *Roster) Failed() {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 	ro.failing = true
-	ro.failedAt = now
 }
 
-// Reached reports that the store was read, and drops the registrations that have been missing for too long.
+// Reached reports that the store was read, and drops the registrations that are still missing some time after its return.
 func (ro *Roster) Reached(now time.Duration) {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 	if ro.failing {
 		ro.failing = false
-		ro.failedAt = now
-		for id := range ro.missing {
-			ro.missing[id] = now
-		}
+		ro.returnedAt = now
 	}
-	dropped := false
-	for id, since := range ro.missing {
-		if now-since >= returnSpan {
-			delete(ro.missing, id)
-			delete(ro.byID, id)
-			dropped = true
-		}
+	if ro.inDoubt(now) || len(ro.missing) == 0 {
+		return
 	}
-	if dropped {
-		ro.publish()
+	for id := range ro.missing {
+		delete(ro.byID, id)
 	}
+	clear(ro.missing)
+	ro.publish()
 }
 
 // Apply takes changes in the order of the store, and returns the changes that matter to placement.
@@ -160,7 +158,8 @@
 func (ro *Roster) applyOne(now time.Duration, ch Change) bool {
 	old, known := ro.byID[ch.ID]
 	if ch.Endpoint != nil {
-		if last, ok := ro.seen[ch.ID]; ok && !last.older(ch.Endpoint) {
+		last, ok := ro.seen[ch.ID]
+		if ok && (last.after(ch.Endpoint) || (!known && last.repeated(ch.Endpoint))) {
 			return false
 		}
 		ro.seen[ch.ID] = heartbeat{started: ch.Endpoint.Started, sequence: ch.Endpoint.Sequence}
@@ -172,9 +171,7 @@
 		return false
 	}
 	if ro.inDoubt(now) {
-		if _, ok := ro.missing[ch.ID]; !ok {
-			ro.missing[ch.ID] = now
-		}
+		ro.missing[ch.ID] = true
 		return false
 	}
 	delete(ro.byID, ch.ID)
@@ -183,7 +180,7 @@
 
 // inDoubt reports whether a registration may have lapsed only because the store was away.
 func (ro *Roster) inDoubt(now time.Duration) bool {
-	return ro.failing || (ro.failedAt > 0 && now-ro.failedAt < doubtSpan)
+	return ro.failing || (ro.returnedAt > 0 && now-ro.returnedAt < returnSpan)
 }
 
 func (ro *Roster) publish() {
