Ceilings of two seconds' demand and the usual request, not of the greatest one

Ruled out: grants (others had returned theirs; free was zero). Change: slack of two seconds' demand and two usual requests, rising by 1.3 times the demand; a request that only lost tokens could cover is refused at once; each append of grants is logged with its rows.

--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -75,6 +75,7 @@
 	switch {
 	case err == nil:
 		gr.edge.purse.Confirm(cf.Clock(), ba)
+		cf.Logger.Info("grants", "offset", gr.view.Next(), "rows", ba.Changes())
 		return grantInterval
 	case errors.Is(err, keyed.ErrConflict):
 		gr.edge.purse.Refused(ba)
--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -12,6 +12,8 @@
 	reserveWaitShare = 0.4
 	// lackingRetry is when a caller should return if this instance has too few tokens; grants are divided anew about once a second.
 	lackingRetry = 800 * time.Millisecond
+	// strandedRetry is when a caller should return if only a top-up can cover the request.
+	strandedRetry = 2 * time.Second
 )
 
 // reserve takes the most that the request can cost out of the team's grant.
@@ -29,6 +31,8 @@
 			return nil
 		case purse.Exhausted:
 			return fault.New(fault.BudgetExhausted, fault.NotRun, "what is left of the prepaid total does not cover the request")
+		case purse.Stranded:
+			return fault.New(fault.Unavailable, fault.NotRun, "what is surely left of the prepaid total does not cover the request").WithRetryAfter(strandedRetry)
 		case purse.Lacking:
 			if !vi.awaitTokens(tokens, min(ends, vi.ends)) {
 				return fault.New(fault.Unavailable, fault.NotRun, "this instance holds too few of the team's tokens").WithRetryAfter(lackingRetry)
@@ -44,7 +48,7 @@
 	if wait <= 0 {
 		return false
 	}
-	changed := pu.Await(vi.team, tokens)
+	changed := pu.Await(vi.now(), vi.team, tokens)
 	defer pu.Leave(vi.team, tokens)
 	ti := time.NewTimer(wait)
 	defer ti.Stop()
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -133,7 +133,7 @@
 	fi := vi.gate.config.Purse.Figures(vi.now(), vi.team)
 	return []any{
 		"asked", vi.call.Prompt + vi.call.Output, "granted", fi.Granted, "spent", fi.Spent, "reserved", fi.Reserved,
-		"limit", fi.Limit, "left", fi.Left,
+		"limit", fi.Limit, "left", fi.Left, "lost", fi.Lost,
 	}
 }
 
--- a/pkg/purse/account.go
+++ b/pkg/purse/account.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// typicalWeight is the inverse of the weight of the newest reservation in the moving average.
+const typicalWeight = 16
+
 // term is a row of this life that the topic holds or may come to hold.
 type term struct {
 	row     Row
@@ -22,9 +25,10 @@
 	lost    int64
 	waiting int64
 	demand  meter
-	// peak is the greatest reservation of the recent past.
-	peak   int64
-	peakAt time.Duration
+	// typical is the moving average of reservations.
+	typical int64
+	// neededAt is when a lack of grant was last signalled.
+	neededAt time.Duration
 	// given and taken were moved to and from peers without the topic.
 	given   int64
 	taken   int64
@@ -64,11 +68,8 @@
 	return granted
 }
 
-func (ac *account) notePeak(now time.Duration, tokens int64) {
-	if tokens >= ac.peak || now-ac.peakAt > peakSpan {
-		ac.peak = tokens
-		ac.peakAt = now
-	}
+func (ac *account) noteSize(tokens int64) {
+	ac.typical += (tokens - ac.typical) / typicalWeight
 }
 
 func (ac *account) notify() {
--- a/pkg/purse/build.go
+++ b/pkg/purse/build.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// peakSpan is how long the greatest reservation is remembered.
-	peakSpan = 10 * time.Second
-	// ceilingDelay is the time without a new row after which a ceiling rises; rows are appended about once a second.
-	ceilingDelay = 1500 * time.Millisecond
-	// rateFactor is the rise of a ceiling against the present demand; a team's burst is about 2.6 times its usual.
-	rateFactor = 3
+	// ceilingDelay is the time without a new row after which a ceiling rises; a killed process is mostly back about then.
+	ceilingDelay = 2 * time.Second
+	// ratePercent is the rise of a ceiling against the present demand.
+	ratePercent = 130
+	// typicalRequests is how many requests of the usual size a ceiling leaves room for beside the demand.
+	typicalRequests = 2
 	// keepSeconds is the demand in seconds that an instance does not give away.
 	keepSeconds = 2
 	// aliveSpan is how long an instance counts after its last row; rows are renewed every renewSpan.
@@ -28,7 +28,7 @@
 	// tolerance is the part of an entitlement by which a grant may differ without a new row.
 	tolerance = 16
 	// idleDivisor gives a team without demand a ceiling: this part of the grant a second.
-	idleDivisor = 40
+	idleDivisor = 60
 	percent     = 100
 	// spreadPercent is the part of what is left that is granted ahead of need; the rest answers sudden needs.
 	spreadPercent = 97
@@ -41,6 +41,29 @@
 	terms   []term
 }
 
+// Change is one row of a batch, for operators; all amounts are in tokens.
+type Change struct {
+	Team    string `json:"team"`
+	Granted int64  `json:"granted"`
+	Spent   int64  `json:"spent"`
+	Lost    int64  `json:"lost,omitempty"`
+	Base    int64  `json:"base"`
+	Rate    int64  `json:"rate"`
+	Need    int64  `json:"need,omitempty"`
+}
+
+// Changes returns what the batch says.
+func (ba Batch) Changes() []Change {
+	list := make([]Change, 0, len(ba.terms))
+	for ix, te := range ba.terms {
+		ro := te.row
+		list = append(list, Change{
+			Team: ba.teams[ix], Granted: ro.Granted, Spent: ro.Spent, Lost: ro.Lost, Base: ro.Base, Rate: ro.Rate, Need: ro.Need,
+		})
+	}
+	return list
+}
+
 // Empty reports whether there is nothing to append.
 func (ba Batch) Empty() bool { return len(ba.Records) == 0 }
 
@@ -102,13 +125,10 @@
 		pu.inherit(ac, stamp)
 	}
 	demand := ac.demand.perSecond(now)
-	if now-ac.peakAt > peakSpan {
-		ac.peak = 0
-	}
 	granted := pu.nextGrant(ac, now)
 	// Without demand a ceiling leaves room for the first requests, in proportion to the grant.
-	rate := max(demand*rateFactor, max(0, granted-ac.used())/idleDivisor)
-	slack := rate*int64(ceilingDelay)/int64(time.Second) + 2*ac.peak + ac.waiting
+	rate := max(demand*ratePercent/percent, max(0, granted-ac.used())/idleDivisor)
+	slack := rate*int64(ceilingDelay)/int64(time.Second) + typicalRequests*ac.typical + ac.waiting
 	return Row{
 		Granted: granted, Base: ac.used() + slack, Rate: rate, Delay: ceilingDelay, Spent: ac.spent, Lost: ac.lost, Demand: demand,
 		Need: ac.waiting, Wall: stamp.Wall.UnixMilli(), Boot: stamp.Boot.Milliseconds(), Life: pu.config.Life,
--- a/pkg/purse/purse.go
+++ b/pkg/purse/purse.go
@@ -8,6 +8,9 @@
 	"github.com/clementineweir/clementineweir/pkg/record"
 )
 
+// needInterval is how often a lack of grant is published; the others answer it with their next rows.
+const needInterval = 300 * time.Millisecond
+
 // Config names the owner of a purse.
 type Config struct {
 	Instance string
@@ -24,6 +27,8 @@
 	Covered Shortage = iota
 	// Lacking reservations exceed what this instance may spend now, though the team has tokens left.
 	Lacking
+	// Stranded reservations exceed what is left when all that earlier lives may have spent counts as spent.
+	Stranded
 	// Exhausted reservations exceed all that is left of the team's total.
 	Exhausted
 )
@@ -78,25 +83,38 @@
 	limit := ac.limit(now, pu.excess(team))
 	if ac.used()+tokens <= limit {
 		ac.reserved += tokens
-		ac.notePeak(now, tokens)
-		if limit-ac.used() < ac.peak {
+		ac.noteSize(tokens)
+		if limit-ac.used() < ac.typical {
 			pu.wake()
 		}
 		return Covered
 	}
-	if ac.held != nil && pu.left(team) < tokens {
+	if ac.held == nil {
+		return Lacking
+	}
+	left, lost := pu.left(team)
+	switch {
+	case left < tokens:
 		return Exhausted
+	case left-lost < tokens:
+		return Stranded
+	default:
+		return Lacking
 	}
-	return Lacking
 }
 
 // Await registers a request that waits for tokens; the channel closes at the next change, and Leave ends the wait.
-func (pu *Purse) Await(team string, tokens int64) <-chan struct{} {
+func (pu *Purse) Await(now time.Duration, team string, tokens int64) <-chan struct{} {
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
 	ac := pu.account(team)
 	ac.waiting += tokens
-	pu.wake()
+	covered := ac.used()+tokens <= ac.granted()-pu.excess(team)
+	if covered || now-ac.neededAt >= needInterval {
+		// A new row of this instance is enough for a ceiling; a lack of grant takes the others' next rows.
+		ac.neededAt = now
+		pu.wake()
+	}
 	return ac.changed
 }
 
@@ -153,7 +171,9 @@
 	Spent    int64
 	Reserved int64
 	Limit    int64
-	Left     int64
+	// Left is what is left of the team's total, with Lost, which earlier lives may have spent.
+	Left int64
+	Lost int64
 }
 
 // Figures returns the amounts of one team.
@@ -161,9 +181,10 @@
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
 	ac := pu.account(team)
+	left, lost := pu.left(team)
 	return Figures{
 		Granted: ac.granted(), Spent: ac.spent, Reserved: ac.reserved,
-		Limit: ac.limit(now, pu.excess(team)), Left: pu.left(team),
+		Limit: ac.limit(now, pu.excess(team)), Left: left, Lost: lost,
 	}
 }
 
@@ -239,16 +260,18 @@
 	return sum
 }
 
-// left returns what no instance has spent of the total, as far as the topic shows.
-func (pu *Purse) left(team string) int64 {
+// left returns what no instance has spent of the total, as far as the topic shows, and how much of it earlier lives may have spent.
+func (pu *Purse) left(team string) (left, lost int64) {
 	ac := pu.account(team)
-	left := pu.totals[team] - (ac.spent - ac.lost)
+	left = pu.totals[team] - (ac.spent - ac.lost)
+	lost = ac.lost
 	for instance, ho := range pu.rows[team] {
 		if instance != pu.config.Instance {
 			left -= ho.row.Spent - ho.row.Lost
+			lost += ho.row.Lost
 		}
 	}
-	return left
+	return left, lost
 }
 
 func (pu *Purse) account(team string) *account {
