Ceilings risk at most a part of what is left of a total; rows twice a second

Ruled out: wrong charging (events times their greatest size, at most 2% over); slow recovery (grants are back within a second). Change: slack bounded by 6 in 100 of the grant, the rise begins after 2.6 s (a killed process is back by then), rows twice a second so that they are young, 65 in 100 of what is left divided by demand. Tokens stranded at other instances during an outage are next.

--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// grantInterval is how often rows are read and renewed without need: a call or two a second for each instance.
-	grantInterval = time.Second
+	// grantInterval is how often rows are read and renewed without need; the older a row, the more its ceiling must allow.
+	grantInterval = 500 * time.Millisecond
 	// grantLeast is the least pause between appends when requests wait for tokens.
 	grantLeast = 60 * time.Millisecond
 	// conflictPause spreads instances that append at the same moment; one append takes the store some milliseconds.
--- a/pkg/purse/build.go
+++ b/pkg/purse/build.go
@@ -9,10 +9,14 @@
 )
 
 const (
-	// ceilingDelay is the time without a new row after which a ceiling rises; a killed process is mostly back about then.
-	ceilingDelay = 2 * time.Second
-	// ratePercent is the rise of a ceiling against the present demand.
-	ratePercent = 130
+	// ceilingDelay is the time without a new row after which a ceiling rises; a process that was killed is back by then.
+	ceilingDelay = 2600 * time.Millisecond
+	// ratePercent is the rise of a ceiling against the present demand: past the delay the store is away, and a burst must be served.
+	ratePercent = 400
+	// slackPercent is what a ceiling leaves for the demand before it rises.
+	slackPercent = 120
+	// riskPercent bounds what the loss of all instances may cost a team: this part of what is left of its total.
+	riskPercent = 6
 	// typicalRequests is how many requests of the usual size a ceiling leaves room for beside the demand.
 	typicalRequests = 2
 	// keepSeconds is the demand in seconds that an instance does not give away.
@@ -21,14 +25,18 @@
 	aliveSpan = 8 * time.Second
 	// renewSpan is how often an instance writes rows that have not changed.
 	renewSpan = 3 * time.Second
+	// renewPercent is the part of its slack below which a ceiling is renewed.
+	renewPercent = 75
+	// equalPercent is the part of what is left that is divided equally, for demand that moves from one instance to another.
+	equalPercent = 35
 	// youngSpan is the time after the start in which instances may not know of each other yet.
 	youngSpan = 3 * time.Second
 	// youngShare is the least number of holders that a young instance assumes.
 	youngShare = 8
 	// tolerance is the part of an entitlement by which a grant may differ without a new row.
 	tolerance = 16
-	// idleDivisor gives a team without demand a ceiling: this part of the grant a second.
-	idleDivisor = 60
+	// idleDivisor gives a team without demand a ceiling: this part of the grant, and as much a second.
+	idleDivisor = 30
 	percent     = 100
 	// spreadPercent is the part of what is left that is granted ahead of need; the rest answers sudden needs.
 	spreadPercent = 97
@@ -128,7 +136,10 @@
 	granted := pu.nextGrant(ac, now)
 	// Without demand a ceiling leaves room for the first requests, in proportion to the grant.
 	rate := max(demand*ratePercent/percent, max(0, granted-ac.used())/idleDivisor)
-	slack := rate*int64(ceilingDelay)/int64(time.Second) + typicalRequests*ac.typical + ac.waiting
+	slack := demand*slackPercent/percent*int64(ceilingDelay)/int64(time.Second) + typicalRequests*ac.typical
+	// A grant is the instance's part of what is left, so the bound on the risk is a part of the grant.
+	slack = min(slack, max(0, granted-ac.used())*riskPercent/percent) + ac.waiting
+	slack = max(slack, max(0, granted-ac.used())/idleDivisor)
 	return Row{
 		Granted: granted, Base: ac.used() + slack, Rate: rate, Delay: ceilingDelay, Spent: ac.spent, Lost: ac.lost, Demand: demand,
 		Need: ac.waiting, Wall: stamp.Wall.UnixMilli(), Boot: stamp.Boot.Milliseconds(), Life: pu.config.Life,
@@ -188,7 +199,7 @@
 	return sum
 }
 
-// entitlement returns the share of this instance in what is left: half by equal parts, half by demand.
+// entitlement returns the share of this instance in what is left: a part by equal shares, the rest by demand.
 func (pu *Purse) entitlement(ac *account, now time.Duration) int64 {
 	left := pu.totals[ac.team]
 	own := ac.demand.perSecond(now)
@@ -213,7 +224,8 @@
 	}
 	share := left / holders
 	if demand > 0 {
-		share = share/2 + int64(float64(left)/2*float64(own)/float64(demand))
+		byDemand := int64(float64(left) * float64(own) / float64(demand))
+		share = (share*equalPercent + byDemand*(percent-equalPercent)) / percent
 	}
 	return max(0, share)
 }
@@ -229,7 +241,7 @@
 	held := ac.held.row
 	used := ac.used()
 	switch {
-	case now-ac.held.builtAt >= renewSpan, row.Need != held.Need, row.Rate > 2*held.Rate, held.Base-used < (row.Base-used)/2:
+	case now-ac.held.builtAt >= renewSpan, row.Need != held.Need, row.Rate > 2*held.Rate, held.Base-used < (row.Base-used)*renewPercent/percent:
 		return true
 	case pu.closing:
 		return row.Granted != held.Granted || row.Spent != held.Spent
