Store reached through peers, tokens moved between peers, one health of the store for all topics

Change: internal/mesh (twirp): relayed reads and conditional appends, Give and Take; what is given counts as used by the giver.

--- a/internal/cmds/edge.go
+++ b/internal/cmds/edge.go
@@ -56,8 +56,8 @@
 	ed := edge.New(edge.Config{
 		Settings: se,
 		Platform: edge.Platform{
-			Configuration: cl.Topic(wire.OperatorTopic), ConfigurationKey: wire.ConfigurationKey,
-			Endpoints: cl.Topic(wire.RegistrationTopic), Grants: cl.Topic(grantTopic),
+			Topic: cl.Topic, Configuration: wire.OperatorTopic, ConfigurationKey: wire.ConfigurationKey,
+			Endpoints: wire.RegistrationTopic, Grants: grantTopic,
 			Protocol: wire.Protocol{}, DecodePlan: wire.DecodePlan, DecodeEndpoint: wire.DecodeEndpoint,
 		},
 		Clock:  func() time.Duration { return time.Since(begun) + 1 },
--- a/internal/config/edge.go
+++ b/internal/config/edge.go
@@ -8,6 +8,7 @@
 	Domain        string
 	CallerAddress string
 	ReadyAddress  string
+	PeerAddress   string
 	StoreAddress  string
 	// Grace is the time between the order to stop and the end of the process.
 	Grace time.Duration
@@ -25,6 +26,7 @@
 	{"instance", "domain", text, "", true, 0, "Failure domain in which the instance runs.", func(se *Settings) any { return &se.Edge.Domain }},
 	{"instance", "callerAddress", listenAddress, "", true, 0, "IP and port for callers.", func(se *Settings) any { return &se.Edge.CallerAddress }},
 	{"instance", "readyAddress", listenAddress, "", true, 0, "IP and port for readiness checks and metrics.", func(se *Settings) any { return &se.Edge.ReadyAddress }},
+	{"instance", "peerAddress", listenAddress, "", true, 0, "IP and port for the other instances.", func(se *Settings) any { return &se.Edge.PeerAddress }},
 	{"instance", "grace", duration, "8s", false, minDuration, "Time between the order to stop and the end of the process.", func(se *Settings) any { return &se.Edge.Grace }},
 	{"instance", "memoryMegabytes", number, "256", false, 32, "Memory that the process may use, in megabytes.", func(se *Settings) any { return &se.Edge.MemoryMegabytes }},
 	{"store", "address", listenAddress, "", true, 0, "IP and port of the platform's metadata store.", func(se *Settings) any { return &se.Edge.StoreAddress }},
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,6 +12,7 @@
 	"github.com/clementineweir/clementineweir/internal/config"
 	"github.com/clementineweir/clementineweir/internal/conns"
 	"github.com/clementineweir/clementineweir/internal/gate"
+	"github.com/clementineweir/clementineweir/internal/mesh"
 	"github.com/clementineweir/clementineweir/pkg/allow"
 	"github.com/clementineweir/clementineweir/pkg/keyed"
 	"github.com/clementineweir/clementineweir/pkg/place"
@@ -22,13 +23,15 @@
 
 // Platform is what an adapter provides: the topics of the store and the decoders of what others write there.
 type Platform struct {
-	// Configuration is the topic that holds the newest configuration under ConfigurationKey.
-	Configuration    keyed.Topic
+	// Topic returns a topic of the store.
+	Topic func(name string) keyed.Topic
+	// Configuration names the topic that holds the newest configuration under ConfigurationKey.
+	Configuration    string
 	ConfigurationKey string
-	// Endpoints is the topic that holds a registration for each endpoint under its ID.
-	Endpoints keyed.Topic
-	// Grants is the topic that holds what the instances tell each other.
-	Grants   keyed.Topic
+	// Endpoints names the topic that holds a registration for each endpoint under its ID.
+	Endpoints string
+	// Grants names the topic that holds what the instances tell each other.
+	Grants   string
 	Protocol gate.Protocol
 	// DecodePlan returns a configuration and the names of routes that it had to leave out.
 	DecodePlan     func(data []byte) (*plan.Plan, []string, error)
@@ -60,6 +63,9 @@
 	pool      *conns.Pool
 	metrics   *gate.Metrics
 	guard     *guard
+	mesh      *mesh.Mesh
+	topics    map[string]mesh.Relayed
+	lender    *lender
 	planner   *planner
 	directory *directory
 	grants    *grants
@@ -76,6 +82,15 @@
 	}
 	opened := ed.metrics.Counter("weir_endpoint_connections_opened_total")
 	ed.pool = conns.NewPool(opened.Inc)
+	ed.mesh = mesh.New(mesh.Config{
+		Self:  mesh.Member{Name: cf.Settings.Name, Address: cf.Settings.PeerAddress, Domain: cf.Settings.Domain},
+		Clock: cf.Clock,
+	})
+	ed.topics = map[string]mesh.Relayed{}
+	for _, name := range []string{cf.Platform.Configuration, cf.Platform.Endpoints, cf.Platform.Grants} {
+		ed.topics[name] = ed.mesh.Topic(name, cf.Platform.Topic(name))
+	}
+	ed.lender = &lender{edge: ed, asked: map[string]time.Duration{}}
 	ed.planner = newPlanner(ed)
 	ed.directory = newDirectory(ed)
 	ed.grants = newGrants(ed)
@@ -111,7 +126,7 @@
 	defer stop()
 	var group run.Group
 	for _, loop := range []func(context.Context) error{
-		ed.planner.run, ed.directory.run, ed.grants.run, ed.front.run, ed.front.runReadiness, ed.runSweep,
+		ed.planner.run, ed.directory.run, ed.grants.run, ed.front.run, ed.front.runReadiness, ed.front.runPeers, ed.runSweep,
 	} {
 		group.Add(func() error { return loop(lctx) }, func(error) { stop() })
 	}
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/clementineweir/clementineweir/internal/gate"
+	"github.com/clementineweir/clementineweir/internal/mesh"
 	"github.com/clementineweir/clementineweir/pkg/plan"
 )
 
@@ -33,6 +34,7 @@
 	handler   http.Handler
 	callers   net.Listener
 	readiness net.Listener
+	peers     net.Listener
 	active    atomic.Int64
 	mu        sync.Mutex
 	limits    plan.Limits
@@ -52,7 +54,7 @@
 func newFront(ed *Edge) *front {
 	return &front{edge: ed, handler: gate.New(gate.Config{
 		Protocol: ed.config.Platform.Protocol, Beliefs: ed, Roster: ed.roster, Board: ed.board, Purse: ed.purse,
-		Allowance: ed.allowance, Pool: ed.pool, Quarantine: ed.guard, Metrics: ed.metrics, Clock: ed.config.Clock,
+		Allowance: ed.allowance, Pool: ed.pool, Quarantine: ed.guard, Lender: ed.lender, Metrics: ed.metrics, Clock: ed.config.Clock,
 		Domain: ed.config.Settings.Domain, Logger: ed.config.Logger,
 	})}
 }
@@ -66,7 +68,11 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for readiness checks")
 	}
-	fr.callers, fr.readiness = callers, readiness
+	peers, err := net.Listen("tcp", fr.edge.config.Settings.PeerAddress)
+	if err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
+	fr.callers, fr.readiness, fr.peers = callers, readiness, peers
 	return nil
 }
 
@@ -153,10 +159,20 @@
 		fr.edge.metrics.Write(ct.Response())
 		return nil
 	})
-	se := &http.Server{Handler: ec, ReadHeaderTimeout: readinessTimeout, IdleTimeout: defaultIdleTimeout}
+	return serve(ctx, fr.readiness, ec)
+}
+
+// runPeers answers the other instances.
+func (fr *front) runPeers(ctx context.Context) error {
+	return serve(ctx, fr.peers, mesh.NewServer(mesh.ServerConfig{Topics: fr.edge.topics, Giver: fr.edge.lender}))
+}
+
+// serve answers on a listener until the context ends.
+func serve(ctx context.Context, li net.Listener, handler http.Handler) error {
+	se := &http.Server{Handler: handler, ReadHeaderTimeout: readinessTimeout, IdleTimeout: defaultIdleTimeout}
 	defer context.AfterFunc(ctx, func() { _ = se.Close() })()
-	if err := se.Serve(fr.readiness); !errors.Is(err, http.ErrServerClosed) {
-		return eris.Wrap(err, "serve readiness checks")
+	if err := se.Serve(li); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrapf(err, "serve on %s", li.Addr())
 	}
 	return nil
 }
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -23,11 +23,13 @@
 	edge    *Edge
 	view    *keyed.View
 	contact contact
+	// announced is whether the topic names this instance.
+	announced bool
 }
 
 func newGrants(ed *Edge) *grants {
 	gr := &grants{edge: ed, contact: contact{name: "grants", logger: ed.config.Logger}}
-	gr.view = keyed.NewView(ed.config.Platform.Grants, gr)
+	gr.view = keyed.NewView(ed.topics[ed.config.Platform.Grants], gr)
 	return gr
 }
 
@@ -68,12 +70,17 @@
 		cf.Logger.Error(err, "grants not encoded")
 		return grantInterval
 	}
-	if ba.Empty() {
+	list, err := gr.withAnnouncement(ba.Records)
+	if err != nil {
+		cf.Logger.Error(err, "announcement not encoded")
+	}
+	if len(list) == 0 {
 		return grantInterval
 	}
-	err = gr.view.Append(ctx, ba.Records)
+	err = gr.view.Append(ctx, list)
 	switch {
 	case err == nil:
+		gr.announced = true
 		gr.edge.purse.Confirm(cf.Clock(), ba)
 		cf.Logger.Info("grants", "offset", gr.view.Next(), "rows", ba.Changes())
 		return grantInterval
@@ -88,14 +95,31 @@
 	return retryPause
 }
 
+// withAnnouncement adds the record that makes this instance known to its peers, or unknown when it leaves.
+func (gr *grants) withAnnouncement(list []keyed.Record) ([]keyed.Record, error) {
+	switch {
+	case gr.edge.Draining():
+		return append(list, gr.edge.mesh.Farewell()), nil
+	case gr.announced:
+		return list, nil
+	}
+	re, err := gr.edge.mesh.Announcement()
+	if err != nil {
+		return list, err
+	}
+	return append(list, re), nil
+}
+
 // Reset takes the newest row of every instance.
 func (gr *grants) Reset(list []keyed.Record) {
 	gr.edge.purse.Reset(gr.edge.config.Clock(), list)
+	gr.edge.mesh.Read(list)
 	gr.edge.guard.read(list)
 }
 
 // Changed takes new rows.
 func (gr *grants) Changed(list []keyed.Record) {
 	gr.edge.purse.Changed(gr.edge.config.Clock(), list)
+	gr.edge.mesh.Read(list)
 	gr.edge.guard.read(list)
 }
--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -10,6 +10,8 @@
 const (
 	// reserveWaitShare is the part of the latency objective for which a request waits for tokens from other instances.
 	reserveWaitShare = 0.4
+	// capWait is how long a request waits for a new row before peers are asked: several round trips to the store.
+	capWait = 60 * time.Millisecond
 	// lackingRetry is when a caller should return if this instance has too few tokens; grants are divided anew about once a second.
 	lackingRetry = 800 * time.Millisecond
 	// strandedRetry is when a caller should return if only a top-up can cover the request.
@@ -24,8 +26,10 @@
 	tokens := vi.call.Prompt + vi.call.Output
 	pu := vi.gate.config.Purse
 	ends := vi.now() + time.Duration(reserveWaitShare*float64(vi.route.Target))
+	capped := false
 	for {
-		switch pu.Reserve(vi.now(), vi.team, tokens) {
+		short := pu.Reserve(vi.now(), vi.team, tokens)
+		switch short {
 		case purse.Covered:
 			vi.reserved = tokens
 			return nil
@@ -33,7 +37,16 @@
 			return fault.New(fault.BudgetExhausted, fault.NotRun, "what is left of the prepaid total does not cover the request")
 		case purse.Stranded:
 			return fault.New(fault.Unavailable, fault.NotRun, "what is surely left of the prepaid total does not cover the request").WithRetryAfter(strandedRetry)
-		case purse.Lacking:
+		case purse.Capped, purse.Lacking:
+			if short == purse.Capped && !capped {
+				// The next row takes some milliseconds; only without the store does it take longer.
+				capped = true
+				vi.awaitTokens(tokens, min(vi.now()+capWait, vi.ends))
+				continue
+			}
+			if vi.borrow(tokens) {
+				continue
+			}
 			if !vi.awaitTokens(tokens, min(ends, vi.ends)) {
 				return fault.New(fault.Unavailable, fault.NotRun, "this instance holds too few of the team's tokens").WithRetryAfter(lackingRetry)
 			}
@@ -41,6 +54,15 @@
 	}
 }
 
+// borrow asks the other instances for tokens, once for each request.
+func (vi *visit) borrow(tokens int64) bool {
+	if vi.borrowed {
+		return false
+	}
+	vi.borrowed = true
+	return vi.gate.config.Lender.Borrow(vi.request.Context(), vi.team, tokens)
+}
+
 // awaitTokens waits for a change of the team's grant; it reports false when the time is over or the caller left.
 func (vi *visit) awaitTokens(tokens int64, ends time.Duration) bool {
 	pu := vi.gate.config.Purse
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -46,6 +47,12 @@
 	Cleared(content uint64)
 }
 
+// Lender gets tokens from other instances.
+type Lender interface {
+	// Borrow reports whether tokens of the team came in.
+	Borrow(ctx context.Context, team string, tokens int64) bool
+}
+
 // Config holds the parts of a gate.
 type Config struct {
 	Protocol   Protocol
@@ -56,6 +63,7 @@
 	Allowance  *allow.Allowance
 	Pool       *conns.Pool
 	Quarantine Quarantine
+	Lender     Lender
 	Metrics    *Metrics
 	Clock      func() time.Duration
 	Domain     string
@@ -101,6 +109,7 @@
 	ends     time.Duration
 	reserved int64
 	cost     int64
+	borrowed bool
 	trail    trail
 }
 
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,178 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/clementineweir/clementineweir/internal/mesh/meshpb"
+	"github.com/clementineweir/clementineweir/pkg/keyed"
+)
+
+const (
+	// memberPrefix begins the keys under which instances announce themselves.
+	memberPrefix = "member/"
+	// callTimeout bounds a call to a peer beyond the time that it may wait: a peer is some milliseconds away, the store behind it as many.
+	callTimeout = 400 * time.Millisecond
+	// dialTimeout bounds a new connection to a peer.
+	dialTimeout = 200 * time.Millisecond
+	// idleTimeout closes connections that are not used.
+	idleTimeout = 30 * time.Second
+	// restTime is how long a peer that did not answer is left alone.
+	restTime = 2 * time.Second
+	// maxPeersTried bounds the peers that one call goes to.
+	maxPeersTried = 3
+)
+
+// ErrAlone reports that no peer could be asked.
+var ErrAlone = eris.New("no peer can be reached")
+
+// Member is one instance as it announces itself.
+type Member struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+}
+
+// Config names the own instance.
+type Config struct {
+	Self  Member
+	Clock func() time.Duration
+}
+
+type peer struct {
+	member    Member
+	client    meshpb.Mesh
+	restUntil time.Duration
+}
+
+// Mesh calls the other instances; it is safe for concurrent use.
+type Mesh struct {
+	config Config
+	http   *http.Client
+	mu     sync.Mutex
+	peers  map[string]*peer
+	// failedAt is when the store itself last failed for any topic, or zero.
+	failedAt atomic.Int64
+}
+
+// New returns a mesh that knows no peer.
+func New(config Config) *Mesh {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return &Mesh{config: config, peers: map[string]*peer{}, http: &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 2, DisableCompression: true,
+	}}}
+}
+
+// Announcement returns the record that makes this instance known.
+func (me *Mesh) Announcement() (keyed.Record, error) {
+	data, err := json.Marshal(me.config.Self)
+	return keyed.Record{Key: memberPrefix + me.config.Self.Name, Value: data}, err
+}
+
+// Farewell returns the record that makes this instance unknown.
+func (me *Mesh) Farewell() keyed.Record { return keyed.Record{Key: memberPrefix + me.config.Self.Name} }
+
+// Read takes what the instances have announced; a record that cannot be decoded names no peer.
+func (me *Mesh) Read(list []keyed.Record) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	for _, re := range list {
+		name, ok := strings.CutPrefix(re.Key, memberPrefix)
+		if !ok || name == me.config.Self.Name {
+			continue
+		}
+		var mb Member
+		if len(re.Value) == 0 || json.Unmarshal(re.Value, &mb) != nil || mb.Address == "" {
+			delete(me.peers, name)
+			continue
+		}
+		if old, ok := me.peers[name]; ok && old.member == mb {
+			continue
+		}
+		me.peers[name] = &peer{member: mb, client: meshpb.NewMeshProtobufClient("http://"+mb.Address, me.http)}
+	}
+}
+
+// candidates returns the peers to ask, in the given order or else those of the own failure domain first.
+func (me *Mesh) candidates(first []string) []*peer {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	now := me.config.Clock()
+	list := make([]*peer, 0, len(me.peers))
+	for _, pe := range me.peers {
+		if now >= pe.restUntil {
+			list = append(list, pe)
+		}
+	}
+	slices.SortFunc(list, func(aa, bb *peer) int {
+		if diff := me.rank(aa, first) - me.rank(bb, first); diff != 0 {
+			return diff
+		}
+		return strings.Compare(aa.member.Name, bb.member.Name)
+	})
+	return list[:min(len(list), maxPeersTried)]
+}
+
+func (me *Mesh) rank(pe *peer, first []string) int {
+	if ix := slices.Index(first, pe.member.Name); ix >= 0 {
+		return ix
+	}
+	if pe.member.Domain == me.config.Self.Domain {
+		return len(first)
+	}
+	return len(first) + 1
+}
+
+// each calls peers in turn until one of them settles the matter.
+func (me *Mesh) each(ctx context.Context, first []string, wait time.Duration, call func(ctx context.Context, pe *peer) error) error {
+	last := ErrAlone
+	for _, pe := range me.candidates(first) {
+		cctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
+		err := call(cctx, pe)
+		cancel()
+		if !answered(err) {
+			me.rest(pe)
+		}
+		err = decodeError(err)
+		if err == nil || settled(err) || ctx.Err() != nil {
+			return err
+		}
+		last = err
+	}
+	return last
+}
+
+func (me *Mesh) rest(pe *peer) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	pe.restUntil = me.config.Clock() + restTime
+}
+
+// Borrow asks peers for tokens of a team, the named ones first, and returns what they gave.
+func (me *Mesh) Borrow(ctx context.Context, team string, tokens int64, first []string) int64 {
+	got := int64(0)
+	_ = me.each(ctx, first, 0, func(ctx context.Context, pe *peer) error {
+		rs, err := pe.client.Give(ctx, &meshpb.GiveRequest{Team: team, Tokens: tokens - got})
+		if err != nil {
+			return err
+		}
+		got += rs.GetTokens()
+		if got < tokens {
+			return errMore
+		}
+		return nil
+	})
+	return got
+}
+
+// errMore asks the next peer, too.
+var errMore = eris.New("the peer gave less than was asked for")
--- /dev/null
+++ b/internal/mesh/server.go
@@ -0,0 +1,100 @@
+package mesh
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/clementineweir/clementineweir/internal/mesh/meshpb"
+	"github.com/clementineweir/clementineweir/pkg/keyed"
+)
+
+// maxRelayWait bounds how long a call on behalf of a peer waits for records.
+const maxRelayWait = 500 * time.Millisecond
+
+// Giver moves unused tokens to peers.
+type Giver interface {
+	Give(team string, tokens int64) int64
+}
+
+// ServerConfig holds the parts of a server; Topics are those that it passes calls on to, by name.
+type ServerConfig struct {
+	Topics map[string]Relayed
+	Giver  Giver
+}
+
+type server struct {
+	config ServerConfig
+}
+
+// NewServer returns the handler for the calls of peers.
+func NewServer(config ServerConfig) http.Handler {
+	return meshpb.NewMeshServer(&server{config: config})
+}
+
+// Newest returns the newest record of each key of a topic.
+func (se *server) Newest(ctx context.Context, rq *meshpb.NewestRequest) (*meshpb.PageResponse, error) {
+	to, err := se.topic(rq.GetTopic())
+	if err != nil {
+		return nil, err
+	}
+	return encodePage(to.Newest(ctx))
+}
+
+// Read returns the records of a topic from an offset on.
+func (se *server) Read(ctx context.Context, rq *meshpb.ReadRequest) (*meshpb.PageResponse, error) {
+	to, err := se.topic(rq.GetTopic())
+	if err != nil {
+		return nil, err
+	}
+	return encodePage(to.Read(ctx, rq.GetFrom(), min(maxRelayWait, time.Duration(rq.GetWaitMs())*time.Millisecond)))
+}
+
+// Append adds records to a topic if it ends at an offset.
+func (se *server) Append(ctx context.Context, rq *meshpb.AppendRequest) (*meshpb.AppendResponse, error) {
+	to, err := se.topic(rq.GetTopic())
+	if err != nil {
+		return nil, err
+	}
+	end, err := to.Append(ctx, rq.GetAt(), decodeRecords(rq.GetRecords()))
+	return &meshpb.AppendResponse{End: end}, encodeError(err)
+}
+
+// Give moves unused tokens of a team to the caller.
+func (se *server) Give(_ context.Context, rq *meshpb.GiveRequest) (*meshpb.GiveResponse, error) {
+	return &meshpb.GiveResponse{Tokens: se.config.Giver.Give(rq.GetTeam(), max(0, rq.GetTokens()))}, nil
+}
+
+func (se *server) topic(name string) (keyed.Topic, error) {
+	to, ok := se.config.Topics[name]
+	if !ok {
+		return nil, twirp.NotFoundError("no topic " + name)
+	}
+	direct, ok := to.Direct()
+	if !ok {
+		return nil, twirp.NewError(twirp.ResourceExhausted, "the store cannot be reached from here either")
+	}
+	return direct, nil
+}
+
+func encodePage(pg keyed.Page, err error) (*meshpb.PageResponse, error) {
+	return &meshpb.PageResponse{Records: encodeRecords(pg.Records), Next: pg.Next}, encodeError(err)
+}
+
+func encodeRecords(list []keyed.Record) []*meshpb.Record {
+	out := make([]*meshpb.Record, 0, len(list))
+	for _, re := range list {
+		out = append(out, &meshpb.Record{Key: re.Key, Value: re.Value})
+	}
+	return out
+}
+
+func decodeRecords(list []*meshpb.Record) []keyed.Record {
+	out := make([]keyed.Record, 0, len(list))
+	for _, re := range list {
+		out = append(out, keyed.Record{Key: re.GetKey(), Value: re.GetValue()})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/mesh/topic.go
@@ -0,0 +1,117 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/clementineweir/clementineweir/internal/mesh/meshpb"
+	"github.com/clementineweir/clementineweir/pkg/keyed"
+)
+
+// directRetry is how long the store is left alone after it failed, while peers are asked instead; grants are renewed as soon as it is back.
+const directRetry = 300 * time.Millisecond
+
+// Relayed is a topic that peers may use, too.
+type Relayed interface {
+	keyed.Topic
+	// Direct returns the store's own topic, or false while the store cannot be reached from here.
+	Direct() (keyed.Topic, bool)
+}
+
+// topic reaches the store directly, or through a peer where that fails.
+type topic struct {
+	mesh   *Mesh
+	name   string
+	direct keyed.Topic
+}
+
+// Topic returns a topic of the store that is also reached through peers.
+func (me *Mesh) Topic(name string, direct keyed.Topic) Relayed {
+	return &topic{mesh: me, name: name, direct: direct}
+}
+
+// tryDirect reports whether the store itself should be asked.
+func (to *topic) tryDirect() bool {
+	at := time.Duration(to.mesh.failedAt.Load())
+	return at == 0 || to.mesh.config.Clock()-at >= directRetry
+}
+
+// Direct returns the store's own topic, or false while the store cannot be reached from here.
+func (to *topic) Direct() (keyed.Topic, bool) { return to.direct, to.mesh.failedAt.Load() == 0 }
+
+func (to *topic) note(err error) {
+	if err == nil || settled(err) {
+		to.mesh.failedAt.Store(0)
+		return
+	}
+	to.mesh.failedAt.Store(int64(to.mesh.config.Clock()))
+}
+
+func (to *topic) Newest(ctx context.Context) (keyed.Page, error) {
+	if to.tryDirect() {
+		pg, err := to.direct.Newest(ctx)
+		to.note(err)
+		if err == nil {
+			return pg, nil
+		}
+	}
+	return to.page(ctx, 0, func(ctx context.Context, pe *peer) (*meshpb.PageResponse, error) {
+		return pe.client.Newest(ctx, &meshpb.NewestRequest{Topic: to.name})
+	})
+}
+
+func (to *topic) Read(ctx context.Context, from int64, wait time.Duration) (keyed.Page, error) {
+	if to.tryDirect() {
+		pg, err := to.direct.Read(ctx, from, wait)
+		to.note(err)
+		if err == nil || settled(err) {
+			return pg, err
+		}
+	}
+	wait = min(wait, maxRelayWait)
+	return to.page(ctx, wait, func(ctx context.Context, pe *peer) (*meshpb.PageResponse, error) {
+		return pe.client.Read(ctx, &meshpb.ReadRequest{Topic: to.name, From: from, WaitMs: wait.Milliseconds()})
+	})
+}
+
+func (to *topic) page(ctx context.Context, wait time.Duration, call func(ctx context.Context, pe *peer) (*meshpb.PageResponse, error)) (keyed.Page, error) {
+	var pg keyed.Page
+	err := to.mesh.each(ctx, nil, wait, func(ctx context.Context, pe *peer) error {
+		rs, err := call(ctx, pe)
+		if err != nil {
+			return err
+		}
+		pg = keyed.Page{Records: decodeRecords(rs.GetRecords()), Next: rs.GetNext()}
+		return nil
+	})
+	return pg, err
+}
+
+// Append asks the store, and then peers; after a call without an answer a conflict may stem from that call, so it settles nothing.
+func (to *topic) Append(ctx context.Context, at int64, list []keyed.Record) (int64, error) {
+	var unclear error
+	if to.tryDirect() {
+		end, err := to.direct.Append(ctx, at, list)
+		to.note(err)
+		if err == nil || settled(err) {
+			return end, err
+		}
+		unclear = err
+	}
+	end := int64(0)
+	err := to.mesh.each(ctx, nil, 0, func(ctx context.Context, pe *peer) error {
+		rs, err := pe.client.Append(ctx, &meshpb.AppendRequest{Topic: to.name, At: at, Records: encodeRecords(list)})
+		if err != nil {
+			if !settled(decodeError(err)) {
+				unclear = err
+			}
+			return err
+		}
+		end = rs.GetEnd()
+		return nil
+	})
+	if err != nil && unclear != nil {
+		return 0, unclear
+	}
+	return end, err
+}
--- a/pkg/purse/account.go
+++ b/pkg/purse/account.go
@@ -19,8 +19,10 @@
 	// pending are rows whose append got no clear answer, or is under way.
 	pending []term
 	// spent counts what this and all earlier lives have spent.
-	spent    int64
-	reserved int64
+	spent int64
+	// inherited is whether spent holds what an earlier life left.
+	inherited bool
+	reserved  int64
 	// lost is the part of spent that earlier lives may not have spent.
 	lost    int64
 	waiting int64
--- a/pkg/purse/build.go
+++ b/pkg/purse/build.go
@@ -12,7 +12,7 @@
 	// ceilingDelay is the time without a new row after which a ceiling rises; a process that was killed is back by then.
 	ceilingDelay = 2600 * time.Millisecond
 	// ratePercent is the rise of a ceiling against the present demand: past the delay the store is away, and a burst must be served.
-	ratePercent = 400
+	ratePercent = 250
 	// slackPercent is what a ceiling leaves for the demand before it rises.
 	slackPercent = 120
 	// riskPercent bounds what the loss of all instances may cost a team: this part of what is left of its total.
@@ -155,12 +155,15 @@
 	if len(ac.pending) > 0 && old.row.Life == pu.config.Life {
 		return
 	}
+	// What was moved to and from peers is part of what the earlier life has used, so its limit bounds the sum.
 	spent := old.row.Granted
 	if elapsed, ok := old.row.elapsed(stamp); ok {
-		spent = max(old.row.Spent, old.row.limit(elapsed))
+		spent = old.row.limit(elapsed)
 	}
-	if spent > ac.spent {
-		ac.lost = old.row.Lost + spent - old.row.Spent
+	// A life that took more from peers than it used has used less than nothing of its own grant.
+	if spent > ac.spent || !ac.inherited {
+		ac.inherited = true
+		ac.lost = max(0, old.row.Lost+spent-old.row.Spent)
 		ac.spent = spent
 	}
 }
--- a/pkg/purse/purse.go
+++ b/pkg/purse/purse.go
@@ -1,6 +1,8 @@
 package purse
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +13,9 @@
 // needInterval is how often a lack of grant is published; the others answer it with their next rows.
 const needInterval = 300 * time.Millisecond
 
+// borrowSeconds is the demand in seconds that is borrowed beside what is short.
+const borrowSeconds = 1
+
 // Config names the owner of a purse.
 type Config struct {
 	Instance string
@@ -25,7 +30,9 @@
 const (
 	// Covered reservations are taken out of the grant.
 	Covered Shortage = iota
-	// Lacking reservations exceed what this instance may spend now, though the team has tokens left.
+	// Capped reservations fit into the grant but not under the ceiling, which the next row lifts.
+	Capped
+	// Lacking reservations exceed the grant, though the team has tokens left.
 	Lacking
 	// Stranded reservations exceed what is left when all that earlier lives may have spent counts as spent.
 	Stranded
@@ -98,6 +105,8 @@
 		return Exhausted
 	case left-lost < tokens:
 		return Stranded
+	case ac.used()+tokens <= ac.granted()-pu.excess(team):
+		return Capped
 	default:
 		return Lacking
 	}
@@ -148,6 +157,25 @@
 	return given
 }
 
+// Lenders returns the instances that have most of a team's tokens unused, as far as the topic shows, and what this instance should ask them for.
+func (pu *Purse) Lenders(now time.Duration, team string, tokens int64) ([]string, int64) {
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	var names []string
+	unused := map[string]int64{}
+	for instance, ho := range pu.rows[team] {
+		if instance == pu.config.Instance {
+			continue
+		}
+		names = append(names, instance)
+		unused[instance] = ho.row.Granted - ho.row.Spent
+	}
+	slices.SortFunc(names, func(aa, bb string) int { return cmp.Compare(unused[bb], unused[aa]) })
+	ac := pu.account(team)
+	short := max(0, ac.used()+tokens-ac.granted())
+	return names, short + max(ac.waiting, ac.demand.perSecond(now)*borrowSeconds)
+}
+
 // Take adds tokens that a peer gave.
 func (pu *Purse) Take(team string, tokens int64) {
 	pu.mu.Lock()
@@ -220,7 +248,7 @@
 		}
 		pu.rows[team][instance] = holding{row: row, seenAt: now}
 		if instance == pu.config.Instance {
-			pu.readOwn(team, row)
+			pu.readOwn(now, team, row)
 		}
 	}
 }
@@ -232,19 +260,19 @@
 	}
 }
 
-// readOwn settles which of the pending rows the topic holds.
-func (pu *Purse) readOwn(team string, row Row) {
+// readOwn takes the row that the topic holds of this life; one that was not pending any more is taken as built now, which allows least.
+func (pu *Purse) readOwn(now time.Duration, team string, row Row) {
 	ac := pu.account(team)
-	if row.Life != pu.config.Life {
+	if row.Life != pu.config.Life || (ac.held != nil && ac.held.row == row) {
 		return
 	}
+	ac.held = &term{row: row, builtAt: now}
 	for _, te := range ac.pending {
 		if te.row == row {
 			ac.held = &te
-			ac.notify()
-			return
 		}
 	}
+	ac.notify()
 }
 
 // excess returns what all grants of a team together exceed its total by, after the total was lowered.
