--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -162,3 +162,11 @@
 		return float64(pl.Version())
 	})
 }
+
+// TeamFigures returns what the instance holds of a team's total.
+func (ed *Edge) TeamFigures(team string) purse.Figures {
+	return ed.purse.Figures(ed.config.Clock(), team)
+}
+
+// UsableEndpoints returns how many endpoints of a service may get work.
+func (ed *Edge) UsableEndpoints(service string) int { return len(ed.roster.Usable(service)) }
--- /dev/null
+++ b/internal/edge/fleet_test.go
@@ -0,0 +1,245 @@
+package edge_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/clementineweir/clementineweir/internal/config"
+	"github.com/clementineweir/clementineweir/internal/edge"
+	"github.com/clementineweir/clementineweir/pkg/keyed"
+	"github.com/clementineweir/clementineweir/pkg/purse"
+	"github.com/clementineweir/clementineweir/platform/stand"
+	"github.com/clementineweir/clementineweir/platform/store"
+	"github.com/clementineweir/clementineweir/platform/wire"
+)
+
+const (
+	testHost   = "service.example"
+	testKey    = "key-1"
+	testTeam   = "team-1"
+	testEvents = 6
+	testStride = 7
+	// hangGuard ends a test that waits for something that never comes.
+	hangGuard = 20 * time.Second
+)
+
+// fleet is a store, endpoints and instances on the loopback interface.
+type fleet struct {
+	tt        *testing.T
+	store     *stand.Store
+	storeURL  string
+	models    []*stand.Endpoint
+	plains    []*stand.Endpoint
+	addresses map[string]string
+	instances []*instance
+}
+
+// instance is one running instance.
+type instance struct {
+	edge     *edge.Edge
+	settings config.Edge
+	stop     context.CancelFunc
+	done     chan error
+}
+
+type fleetConfig struct {
+	instances int
+	prepaid   int64
+}
+
+// manifest is the configuration that the operator writes, with one route of each kind.
+func manifest(version int, prepaid int64) []byte {
+	route := func(name, kind, service string, extra map[string]any) map[string]any {
+		ro := map[string]any{
+			"name": name, "host": testHost, "path_prefix": "/" + name + "/", "route_type": kind, "timeout_ms": 15000, "slo_ms": 2000,
+			"priority": 0, "service": service, "max_attempts": 2, "anonymous": false, "stream_resume": false, "itl_target_ms": 1000,
+		}
+		for key, val := range extra {
+			ro[key] = val
+		}
+		return ro
+	}
+	data, _ := json.Marshal(map[string]any{
+		"version": version,
+		"routes": []any{
+			route("resume", "streaming", "model", map[string]any{"stream_resume": true}),
+			route("stream", "streaming", "model", map[string]any{"max_attempts": 1}),
+			route("safe", "safe", "plain", nil),
+			route("unsafe", "unsafe", "plain", map[string]any{"max_attempts": 1}),
+		},
+		"services": []any{
+			map[string]any{"name": "model", "max_connections": 100, "runtime": map[string]any{"slots": 32, "kv_capacity": 100000, "stride": testStride}},
+			map[string]any{"name": "plain", "max_connections": 100},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": testTeam, "api_keys": []string{testKey}, "priority": 1, "prepaid": prepaid}},
+	})
+	return data
+}
+
+func newFleet(tt *testing.T, fc fleetConfig) *fleet {
+	fl := &fleet{tt: tt, store: stand.NewStore(), addresses: map[string]string{}}
+	fl.storeURL = fl.listen(fl.store)
+	for ix := range 3 {
+		id := fmt.Sprint("model-", ix)
+		fl.models = append(fl.models, fl.addEndpoint(id, stand.EndpointConfig{ID: id, Service: "model", Domain: "zone-a", Slots: 32, Events: testEvents}))
+	}
+	for ix := range 2 {
+		id := fmt.Sprint("plain-", ix)
+		fl.plains = append(fl.plains, fl.addEndpoint(id, stand.EndpointConfig{ID: id, Service: "plain", Domain: "zone-a", Slots: 6}))
+	}
+	fl.store.Put(wire.OperatorTopic, wire.ConfigurationKey, manifest(1, fc.prepaid))
+	for ix := range fc.instances {
+		fl.start(fmt.Sprint("instance-", ix))
+	}
+	for _, in := range fl.instances {
+		fl.await("the instance is ready", in.edge.Ready)
+		fl.await("the instance holds tokens", func() bool { return in.figures().Granted > 0 })
+	}
+	return fl
+}
+
+func (in *instance) figures() purse.Figures { return in.edge.TeamFigures(testTeam) }
+
+// listen serves on the loopback interface for the length of the test and returns the address.
+func (fl *fleet) listen(handler http.Handler) string {
+	se := httptest.NewServer(handler)
+	fl.tt.Cleanup(se.CloseClientConnections)
+	return strings.TrimPrefix(se.URL, "http://")
+}
+
+func (fl *fleet) addEndpoint(id string, ec stand.EndpointConfig) *stand.Endpoint {
+	en := stand.NewEndpoint(ec)
+	fl.addresses[id] = fl.listen(en)
+	fl.store.Put(wire.RegistrationTopic, id, en.Registration(fl.addresses[id], "ready", 1))
+	return en
+}
+
+// freeAddress returns an address on which nothing listens.
+func (fl *fleet) freeAddress() string {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fl.tt.Fatal(err)
+	}
+	defer func() { _ = li.Close() }()
+	return li.Addr().String()
+}
+
+func (fl *fleet) start(name string) *instance {
+	se := config.Edge{
+		Name: name, Domain: "zone-a", CallerAddress: fl.freeAddress(), ReadyAddress: fl.freeAddress(), PeerAddress: fl.freeAddress(),
+		StoreAddress: fl.storeURL, Grace: 8 * time.Second, RetryRatio: 0.2, RetryHeadroom: 50, RetryWindow: 10 * time.Second,
+		MemoryMegabytes: 256,
+	}
+	return fl.run(se)
+}
+
+func (fl *fleet) run(se config.Edge) *instance {
+	begun := time.Now()
+	cl := store.NewClient(se.StoreAddress)
+	in := &instance{settings: se, done: make(chan error, 1)}
+	in.edge = edge.New(edge.Config{
+		Settings: se,
+		Platform: edge.Platform{
+			Topic: func(name string) keyed.Topic { return cl.Topic(name) }, Configuration: wire.OperatorTopic,
+			ConfigurationKey: wire.ConfigurationKey, Endpoints: wire.RegistrationTopic, Grants: "keyed.weir",
+			Protocol: wire.Protocol{}, DecodePlan: wire.DecodePlan, DecodeEndpoint: wire.DecodeEndpoint,
+		},
+		Clock:  func() time.Duration { return time.Since(begun) + 1 },
+		Stamp:  func() purse.Stamp { return purse.Stamp{Wall: time.Now(), Boot: time.Duration(time.Now().UnixNano())} },
+		Logger: logr.Discard(), Dropped: func() int64 { return 0 },
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	in.stop = stop
+	go func() { in.done <- in.edge.Run(ctx) }()
+	fl.instances = append(fl.instances, in)
+	return in
+}
+
+func (fl *fleet) await(what string, holds func() bool) {
+	fl.tt.Helper()
+	ends := time.Now().Add(hangGuard)
+	for !holds() {
+		if time.Now().After(ends) {
+			fl.tt.Fatalf("waited in vain until %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	Status int
+	Body   string
+	// Whole is whether the answer ended as an answer does.
+	Whole bool
+	Retry string
+}
+
+// request describes one request of a caller.
+type request struct {
+	id     string
+	route  string
+	key    string
+	body   string
+	prompt int64
+	output int64
+	header map[string]string
+}
+
+func (fl *fleet) build(in *instance, rq request) *http.Request {
+	method := http.MethodPost
+	if rq.route == "safe" {
+		method = http.MethodGet
+	}
+	hr, err := http.NewRequest(method, "http://"+in.settings.CallerAddress+"/"+rq.route+"/x?q=1", strings.NewReader(rq.body))
+	if err != nil {
+		fl.tt.Fatal(err)
+	}
+	hr.Host = testHost
+	hr.Header.Set("Attempt-Id", rq.id)
+	hr.Header.Set("X-Api-Key", rq.key)
+	hr.Header.Set("Deadline-Ms", "12000")
+	if rq.prompt > 0 {
+		hr.Header.Set("Model", "m")
+		hr.Header.Set("Token-Count", fmt.Sprintf("%d,%d", rq.prompt, rq.output))
+		hr.Header.Set("Prefix-Hash", fmt.Sprintf("aa:%d,%x:%d", rq.prompt/2, len(rq.id), rq.prompt-rq.prompt/2))
+	}
+	for name, val := range rq.header {
+		hr.Header.Set(name, val)
+	}
+	return hr
+}
+
+func (fl *fleet) send(in *instance, rq request) answer {
+	rs, err := http.DefaultTransport.RoundTrip(fl.build(in, rq))
+	if err != nil {
+		return answer{}
+	}
+	defer func() { _ = rs.Body.Close() }()
+	data, err := io.ReadAll(rs.Body)
+	return answer{Status: rs.StatusCode, Body: string(data), Whole: err == nil, Retry: rs.Header.Get("Retry-After")}
+}
+
+// runsOf returns the runs of a request over all endpoints.
+func (fl *fleet) runsOf(id string) []stand.Run {
+	var list []stand.Run
+	for _, en := range append(append([]*stand.Endpoint{}, fl.models...), fl.plains...) {
+		for _, ru := range en.Runs() {
+			if ru.ID == id {
+				list = append(list, ru)
+			}
+		}
+	}
+	return list
+}
--- a/internal/events/reader.go
+++ b/internal/events/reader.go
@@ -21,6 +21,8 @@
 var (
 	endOfEvent   = []byte("\n")
 	endOfEventCR = []byte("\r\n")
+	emptyLine    = []byte("\n\n")
+	emptyLineCR  = []byte("\n\r\n")
 	idField      = []byte("id:")
 )
 
@@ -35,8 +37,11 @@
 	return &Reader{reader: bufio.NewReaderSize(rd, bufferBytes)}
 }
 
-// Buffered reports whether bytes of a further event were already received.
-func (re *Reader) Buffered() bool { return re.reader.Buffered() > 0 }
+// Buffered reports whether a further whole event was already received.
+func (re *Reader) Buffered() bool {
+	data, err := re.reader.Peek(re.reader.Buffered())
+	return err == nil && (bytes.Contains(data, emptyLine) || bytes.Contains(data, emptyLineCR))
+}
 
 // Next returns the bytes of the next whole event, which are valid until the next call.
 //
