--- a/internal/cmds/edge.go
+++ b/internal/cmds/edge.go
@@ -49,8 +49,11 @@
 	debug.SetMemoryLimit(se.MemoryMegabytes * megabyte * memoryPercent / 100)
 	sink := logs.NewSink(os.Stdout)
 	lctx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	written := make(chan error, 1)
-	go func() { written <- sink.Run(lctx) }()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		sink.Run(lctx)
+	}()
 	begun := time.Now()
 	cl := store.NewClient(se.StoreAddress)
 	ed := edge.New(edge.Config{
--- a/internal/conns/exchange.go
+++ b/internal/conns/exchange.go
@@ -139,7 +139,7 @@
 // readHead reads the head of the answer, and skips answers to requests that this connection carried before.
 func (ex *Exchange) readHead(rq Request) error {
 	for range maxStrayAnswers + 1 {
-		rs, err := readFinal(ex.conn.reader, rq.Method)
+		rs, err := readFinal(ex.conn.reader, rq.Method) //nolint:bodyclose // the connection is closed or kept as a whole
 		if err != nil {
 			return err
 		}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -199,7 +199,7 @@
 	}
 	ex, err := cf.Pool.Do(ctx, de.Endpoint.Address, conns.Request{
 		Method: vi.request.Method, Target: vi.request.RequestURI, Host: vi.request.Host, Body: vi.body,
-		Header: cf.Protocol.Forward(vi.request.Header, vi.call, Order{
+		Header: cf.Protocol.Forward(vi.request.Header, Order{
 			Endpoint: de.Endpoint.ID, Team: vi.team, Left: vi.left(), LastEvent: fw.lastEvent,
 		}),
 		Mine: vi.mine,
--- a/internal/gate/protocol.go
+++ b/internal/gate/protocol.go
@@ -46,7 +46,7 @@
 	// Call decodes a caller's headers; the error is shown to the caller.
 	Call(he http.Header) (Call, error)
 	// Forward returns the headers for an endpoint.
-	Forward(he http.Header, ca Call, or Order) http.Header
+	Forward(he http.Header, or Order) http.Header
 	// Mine reports whether an answer's headers belong to a call.
 	Mine(he http.Header, ca Call) bool
 	// Reply decodes the head of an endpoint's answer.
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -48,7 +48,7 @@
 }
 
 // Run writes lines until the context ends, and then what is queued, as long as the reader takes it.
-func (si *Sink) Run(ctx context.Context) error {
+func (si *Sink) Run(ctx context.Context) {
 	told := int64(0)
 	for {
 		select {
@@ -60,7 +60,7 @@
 			}
 		case <-ctx.Done():
 			si.flush()
-			return nil
+			return
 		}
 	}
 }
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -37,11 +37,10 @@
 	// slowness is the measured time against the expected one.
 	slowness float64
 	// latency is the measured time of a plain service.
-	latency  time.Duration
-	load     Load
-	loadAt   time.Duration
-	ownAt    int
-	lastSeen time.Duration
+	latency time.Duration
+	load    Load
+	loadAt  time.Duration
+	ownAt   int
 }
 
 func newState(en roster.Endpoint, memory int64) *state {
--- a/pkg/purse/property_test.go
+++ b/pkg/purse/property_test.go
@@ -96,6 +96,7 @@
 		return 0, keyed.ErrRefused
 	case fateLost:
 		return 0, errSilent
+	case fateOK, fateAnswerLost, fates:
 	case fateLate:
 		to.late = append(to.late, lateAppend{at: at, list: list})
 		return 0, errSilent
