Grants over eight partitions

Cause: on the grown bfb site 4,628 refusals 'too few' under ceilings with the store at hand: 31 instances append to one partition. Change: teams are spread over eight partitions, a purse each; rows of others are read once a second where nothing is to be said.

--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -40,7 +40,7 @@
 	sctx, cancel := context.WithDeadline(loops, ends)
 	defer cancel()
 	ed.front.shutdown(sctx)
-	ed.purse.Close()
+	ed.purses.Close()
 	pause(loops, settleTime/3)
 	ed.config.Logger.Info("drained", "took", time.Since(begun).Seconds())
 	return errDrained
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -21,10 +22,17 @@
 	"github.com/clementineweir/clementineweir/pkg/roster"
 )
 
+// grantShards is the number of partitions over which teams are spread: one takes an append each few milliseconds, and instances that
+// append to the same one must wait for each other.
+const grantShards = 8
+
+// shardName names one partition of a topic among the instances.
+func shardName(topic string, part int) string { return fmt.Sprintf("%s/%d", topic, part) }
+
 // Platform is what an adapter provides: the topics of the store and the decoders of what others write there.
 type Platform struct {
-	// Topic returns a topic of the store.
-	Topic func(name string) keyed.Topic
+	// Topic returns one partition of a topic of the store.
+	Topic func(name string, part int) keyed.Topic
 	// Configuration names the topic that holds the newest configuration under ConfigurationKey.
 	Configuration    string
 	ConfigurationKey string
@@ -60,7 +68,7 @@
 	stopsAt   atomic.Int64
 	roster    *roster.Roster
 	board     *place.Board
-	purse     *purse.Purse
+	purses    *purse.Set
 	allowance *allow.Allowance
 	pool      *conns.Pool
 	metrics   *gate.Metrics
@@ -70,7 +78,7 @@
 	lender    *lender
 	planner   *planner
 	directory *directory
-	grants    *grants
+	grants    []*grants
 	front     *front
 }
 
@@ -79,7 +87,7 @@
 	now := cf.Clock()
 	ed := &Edge{
 		config: cf, roster: roster.New(), board: place.NewBoard(), metrics: gate.NewMetrics(), guard: newGuard(cf.Clock),
-		purse:     purse.New(purse.Config{Instance: cf.Settings.Name, Life: cf.Stamp().Wall.UnixNano()}, now, cf.Stamp),
+		purses:    purse.NewSet(grantShards, purse.Config{Instance: cf.Settings.Name, Life: cf.Stamp().Wall.UnixNano()}, now, cf.Stamp),
 		allowance: allow.New(allowanceOf(cf.Settings), now),
 	}
 	opened := ed.metrics.Counter("weir_endpoint_connections_opened_total")
@@ -89,13 +97,19 @@
 		Clock: cf.Clock,
 	})
 	ed.topics = map[string]mesh.Relayed{}
-	for _, name := range []string{cf.Platform.Configuration, cf.Platform.Endpoints, cf.Platform.Grants} {
-		ed.topics[name] = ed.mesh.Topic(name, cf.Platform.Topic(name))
+	for _, name := range []string{cf.Platform.Configuration, cf.Platform.Endpoints} {
+		ed.topics[name] = ed.mesh.Topic(name, cf.Platform.Topic(name, 0))
+	}
+	for part := range grantShards {
+		name := shardName(cf.Platform.Grants, part)
+		ed.topics[name] = ed.mesh.Topic(name, cf.Platform.Topic(cf.Platform.Grants, part))
 	}
 	ed.lender = &lender{edge: ed, asked: map[string]time.Duration{}}
 	ed.planner = newPlanner(ed)
 	ed.directory = newDirectory(ed)
-	ed.grants = newGrants(ed)
+	for ix, pu := range ed.purses.Shards() {
+		ed.grants = append(ed.grants, newGrants(ed, pu, ix))
+	}
 	ed.front = newFront(ed)
 	return ed
 }
@@ -136,9 +150,13 @@
 	lctx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group run.Group
-	for _, loop := range []func(context.Context) error{
-		ed.planner.run, ed.directory.run, ed.grants.run, ed.front.run, ed.front.runReadiness, ed.front.runPeers, ed.runSweep,
-	} {
+	loops := []func(context.Context) error{
+		ed.planner.run, ed.directory.run, ed.front.run, ed.front.runReadiness, ed.front.runPeers, ed.runSweep,
+	}
+	for _, gr := range ed.grants {
+		loops = append(loops, gr.run)
+	}
+	for _, loop := range loops {
 		group.Add(func() error { return loop(lctx) }, func(error) { stop() })
 	}
 	group.Add(func() error { return ed.runDrain(ctx, lctx) }, func(error) { stop() })
@@ -165,7 +183,7 @@
 
 // TeamFigures returns what the instance holds of a team's total.
 func (ed *Edge) TeamFigures(team string) purse.Figures {
-	return ed.purse.Figures(ed.config.Clock(), team)
+	return ed.purses.Of(team).Figures(ed.config.Clock(), team)
 }
 
 // UsableEndpoints returns how many endpoints of a service may get work.
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/clementineweir/clementineweir/internal/config"
 	"github.com/clementineweir/clementineweir/internal/edge"
-	"github.com/clementineweir/clementineweir/pkg/keyed"
 	"github.com/clementineweir/clementineweir/pkg/purse"
 	"github.com/clementineweir/clementineweir/platform/stand"
 	"github.com/clementineweir/clementineweir/platform/store"
@@ -151,7 +150,7 @@
 	in.edge = edge.New(edge.Config{
 		Settings: se,
 		Platform: edge.Platform{
-			Topic: func(name string) keyed.Topic { return cl.Topic(name) }, Configuration: wire.OperatorTopic,
+			Topic: cl.Topic, Configuration: wire.OperatorTopic,
 			ConfigurationKey: wire.ConfigurationKey, Endpoints: wire.RegistrationTopic, Grants: "keyed.weir",
 			Protocol: wire.Protocol{}, DecodePlan: wire.DecodePlan, DecodeEndpoint: wire.DecodeEndpoint,
 		},
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -53,7 +53,7 @@
 
 func newFront(ed *Edge) *front {
 	return &front{edge: ed, handler: gate.New(gate.Config{
-		Protocol: ed.config.Platform.Protocol, Beliefs: ed, Roster: ed.roster, Board: ed.board, Purse: ed.purse,
+		Protocol: ed.config.Platform.Protocol, Beliefs: ed, Roster: ed.roster, Board: ed.board, Purses: ed.purses,
 		Allowance: ed.allowance, Pool: ed.pool, Quarantine: ed.guard, Lender: ed.lender, Metrics: ed.metrics, Clock: ed.config.Clock,
 		Domain: ed.config.Settings.Domain, Logger: ed.config.Logger,
 	})}
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -7,36 +7,43 @@
 	"time"
 
 	"github.com/clementineweir/clementineweir/pkg/keyed"
+	"github.com/clementineweir/clementineweir/pkg/purse"
 )
 
 const (
 	// grantInterval is how often rows are read and renewed without need; the older a row, the more its ceiling must allow.
 	grantInterval = 500 * time.Millisecond
+	// idleInterval is how often rows of others are read while there is nothing to append.
+	idleInterval = time.Second
 	// grantLeast is the least pause between appends when requests wait for tokens.
 	grantLeast = 60 * time.Millisecond
 	// conflictPause spreads instances that append at the same moment; one append takes the store some milliseconds.
 	conflictPause = 30 * time.Millisecond
 )
 
-// grants keeps the purse and the topic of grants together.
+// grants keeps one purse and its partition of the topic of grants together.
 type grants struct {
 	edge    *Edge
+	purse   *purse.Purse
+	shard   int
 	view    *keyed.View
 	contact contact
+	readAt  time.Duration
 	// announced is whether the topic names this instance.
 	announced bool
 }
 
-func newGrants(ed *Edge) *grants {
-	gr := &grants{edge: ed, contact: contact{name: "grants", logger: ed.config.Logger}}
-	gr.view = keyed.NewView(ed.topics[ed.config.Platform.Grants], gr)
+func newGrants(ed *Edge, pu *purse.Purse, shard int) *grants {
+	name := shardName(ed.config.Platform.Grants, shard)
+	gr := &grants{edge: ed, purse: pu, shard: shard, contact: contact{name: name, logger: ed.config.Logger}}
+	gr.view = keyed.NewView(ed.topics[name], gr)
 	return gr
 }
 
 func (gr *grants) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		delay := gr.step(ctx)
-		gr.edge.allowance.SetInstances(gr.edge.purse.Instances(gr.edge.config.Clock()) + 1)
+		gr.edge.allowance.SetInstances(gr.edge.purses.Instances(gr.edge.config.Clock()) + 1)
 		gr.await(ctx, delay)
 	}
 	return nil
@@ -53,19 +60,23 @@
 	select {
 	case <-ctx.Done():
 	case <-ti.C:
-	case <-gr.edge.purse.Urgent():
+	case <-gr.purse.Urgent():
 	}
 }
 
 // step reads what others have appended, appends the own rows, and returns the delay until the next step.
 func (gr *grants) step(ctx context.Context) time.Duration {
 	cf := gr.edge.config
+	if now := cf.Clock(); gr.view.Loaded() && now-gr.readAt < idleInterval && !gr.purse.Due(now) && gr.announced {
+		return grantInterval
+	}
 	if err := gr.view.Advance(ctx, 0); err != nil {
 		gr.contact.failed(cf.Clock(), err)
 		return retryPause
 	}
-	gr.contact.reached(cf.Clock())
-	ba, err := gr.edge.purse.Build(cf.Clock())
+	gr.readAt = cf.Clock()
+	gr.contact.reached(gr.readAt)
+	ba, err := gr.purse.Build(cf.Clock())
 	if err != nil {
 		cf.Logger.Error(err, "grants not encoded")
 		return grantInterval
@@ -75,20 +86,21 @@
 		cf.Logger.Error(err, "announcement not encoded")
 	}
 	if len(list) == 0 {
+		gr.announced = true
 		return grantInterval
 	}
 	err = gr.view.Append(ctx, list)
 	switch {
 	case err == nil:
 		gr.announced = true
-		gr.edge.purse.Confirm(cf.Clock(), ba)
-		cf.Logger.Info("grants", "offset", gr.view.Next(), "rows", ba.Changes())
+		gr.purse.Confirm(cf.Clock(), ba)
+		cf.Logger.Info("grants", "shard", gr.shard, "offset", gr.view.Next(), "rows", ba.Changes())
 		return grantInterval
 	case errors.Is(err, keyed.ErrConflict):
-		gr.edge.purse.Refused(ba)
+		gr.purse.Refused(ba)
 		return time.Duration(rand.Int64N(int64(conflictPause)))
 	case errors.Is(err, keyed.ErrRefused):
-		gr.edge.purse.Refused(ba)
+		gr.purse.Refused(ba)
 	}
 	// Without a clear answer the rows may still be appended, so they stay pending until the topic shows what became of them.
 	gr.contact.failed(cf.Clock(), err)
@@ -98,7 +110,9 @@
 // withAnnouncement adds the record that makes this instance known to its peers, or unknown when it leaves.
 func (gr *grants) withAnnouncement(list []keyed.Record) ([]keyed.Record, error) {
 	switch {
-	case gr.edge.Draining():
+	case gr.shard != 0:
+		return list, nil
+	case gr.edge.Draining() && len(list) > 0:
 		return append(list, gr.edge.mesh.Farewell()), nil
 	case gr.announced:
 		return list, nil
@@ -112,14 +126,14 @@
 
 // Reset takes the newest row of every instance.
 func (gr *grants) Reset(list []keyed.Record) {
-	gr.edge.purse.Reset(gr.edge.config.Clock(), list)
+	gr.purse.Reset(gr.edge.config.Clock(), list)
 	gr.edge.mesh.Read(list)
 	gr.edge.guard.read(list)
 }
 
 // Changed takes new rows.
 func (gr *grants) Changed(list []keyed.Record) {
-	gr.edge.purse.Changed(gr.edge.config.Clock(), list)
+	gr.purse.Changed(gr.edge.config.Clock(), list)
 	gr.edge.mesh.Read(list)
 	gr.edge.guard.read(list)
 }
--- a/internal/edge/lender.go
+++ b/internal/edge/lender.go
@@ -23,10 +23,10 @@
 	if !le.begin(team, now) {
 		return false
 	}
-	names, want := le.edge.purse.Lenders(now, team, tokens)
+	names, want := le.edge.purses.Of(team).Lenders(now, team, tokens)
 	got := le.edge.mesh.Borrow(ctx, team, want, names)
 	if got > 0 {
-		le.edge.purse.Take(team, got)
+		le.edge.purses.Of(team).Take(team, got)
 		cf.Logger.Info("tokens taken", "team", team, "asked", want, "got", got, "from", names)
 	}
 	return got > 0
@@ -44,7 +44,7 @@
 
 // Give returns how many tokens of the team were moved to a peer.
 func (le *lender) Give(team string, tokens int64) int64 {
-	given := le.edge.purse.Give(le.edge.config.Clock(), team, tokens)
+	given := le.edge.purses.Of(team).Give(le.edge.config.Clock(), team, tokens)
 	if given > 0 {
 		le.edge.config.Logger.Info("tokens given", "team", team, "asked", tokens, "given", given)
 	}
--- a/internal/edge/planner.go
+++ b/internal/edge/planner.go
@@ -70,7 +70,7 @@
 		return
 	}
 	pl.edge.plan.Store(next)
-	pl.edge.purse.SetTotals(totalsOf(next))
+	pl.edge.purses.SetTotals(totalsOf(next))
 	lo.Info("configuration in force", "plan", next.Version(), "routes", next.RouteCount(), "unusableRoutes", left)
 }
 
--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -24,7 +24,7 @@
 		return nil
 	}
 	tokens := vi.call.Prompt + vi.call.Output
-	pu := vi.gate.config.Purse
+	pu := vi.gate.config.Purses.Of(vi.team)
 	ends := vi.now() + time.Duration(reserveWaitShare*float64(vi.route.Target))
 	capped := false
 	for {
@@ -65,7 +65,7 @@
 
 // awaitTokens waits for a change of the team's grant; it reports false when the time is over or the caller left.
 func (vi *visit) awaitTokens(tokens int64, ends time.Duration) bool {
-	pu := vi.gate.config.Purse
+	pu := vi.gate.config.Purses.Of(vi.team)
 	wait := ends - vi.now()
 	if wait <= 0 {
 		return false
@@ -89,7 +89,7 @@
 	if vi.reserved == 0 {
 		return
 	}
-	vi.gate.config.Purse.Settle(vi.now(), vi.team, vi.reserved, vi.cost)
+	vi.gate.config.Purses.Of(vi.team).Settle(vi.now(), vi.team, vi.reserved, vi.cost)
 	vi.reserved = 0
 }
 
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -130,7 +130,7 @@
 	if !vi.limited || !vi.call.Sized || vi.trail.status < http.StatusBadRequest || len(vi.trail.endpoints) > 0 {
 		return nil
 	}
-	fi := vi.gate.config.Purse.Figures(vi.now(), vi.team)
+	fi := vi.gate.config.Purses.Of(vi.team).Figures(vi.now(), vi.team)
 	return []any{
 		"asked", vi.call.Prompt + vi.call.Output, "granted", fi.Granted, "spent", fi.Spent, "reserved", fi.Reserved,
 		"limit", fi.Limit, "left", fi.Left, "lost", fi.Lost,
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -65,7 +65,7 @@
 	Beliefs    Beliefs
 	Roster     *roster.Roster
 	Board      *place.Board
-	Purse      *purse.Purse
+	Purses     *purse.Set
 	Allowance  *allow.Allowance
 	Pool       *conns.Pool
 	Quarantine Quarantine
--- a/pkg/purse/build.go
+++ b/pkg/purse/build.go
@@ -100,6 +100,20 @@
 	return ba, nil
 }
 
+// Due reports whether a batch would hold anything as far as the topic was read.
+func (pu *Purse) Due(now time.Duration) bool {
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	stamp := pu.stamp()
+	for team := range pu.totals {
+		ac := pu.account(team)
+		if ac.held == nil || pu.due(ac, pu.nextRow(ac, now, stamp), now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Confirm reports that the rows are in the topic, directly behind all that was read.
 func (pu *Purse) Confirm(now time.Duration, ba Batch) {
 	pu.mu.Lock()
