Each team's grants at four instances at most, the others borrow for each request

Ruled out: placement (runners idle), the store's rates. Change: the holders of a team are four instances by rendezvous hashing; a lender counts what it gives as demand, keeps a second of its own, and waits for one row where only its ceiling forbids.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -104,7 +104,7 @@
 		name := shardName(cf.Platform.Grants, part)
 		ed.topics[name] = ed.mesh.Topic(name, cf.Platform.Topic(cf.Platform.Grants, part))
 	}
-	ed.lender = &lender{edge: ed, asked: map[string]time.Duration{}}
+	ed.lender = &lender{edge: ed, failedAt: map[string]time.Duration{}}
 	ed.planner = newPlanner(ed)
 	ed.directory = newDirectory(ed)
 	for ix, pu := range ed.purses.Shards() {
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -107,6 +107,14 @@
 	return retryPause
 }
 
+// readMembers takes the announcements of instances, which stand in the first partition.
+func (gr *grants) readMembers(list []keyed.Record) {
+	if gr.shard == 0 {
+		gr.edge.mesh.Read(list)
+		gr.edge.purses.SetMembers(gr.edge.mesh.Members())
+	}
+}
+
 // withAnnouncement adds the record that makes this instance known to its peers, or unknown when it leaves.
 func (gr *grants) withAnnouncement(list []keyed.Record) ([]keyed.Record, error) {
 	switch {
@@ -127,13 +135,13 @@
 // Reset takes the newest row of every instance.
 func (gr *grants) Reset(list []keyed.Record) {
 	gr.purse.Reset(gr.edge.config.Clock(), list)
-	gr.edge.mesh.Read(list)
+	gr.readMembers(list)
 	gr.edge.guard.read(list)
 }
 
 // Changed takes new rows.
 func (gr *grants) Changed(list []keyed.Record) {
 	gr.purse.Changed(gr.edge.config.Clock(), list)
-	gr.edge.mesh.Read(list)
+	gr.readMembers(list)
 	gr.edge.guard.read(list)
 }
--- a/internal/edge/lender.go
+++ b/internal/edge/lender.go
@@ -2,51 +2,82 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
 
-// borrowInterval is how often peers are asked for tokens of one team; the requests between take from what came in.
-const borrowInterval = 40 * time.Millisecond
+// borrowPause is how long peers are not asked for tokens of a team after they gave less than was asked for.
+const borrowPause = 40 * time.Millisecond
+
+// giveWait is how long a peer's call waits for a new row: several round trips to the store.
+const giveWait = 80 * time.Millisecond
 
 // lender moves tokens between this instance and its peers.
 type lender struct {
-	edge  *Edge
-	mu    sync.Mutex
-	asked map[string]time.Duration
+	edge *Edge
+	mu   sync.Mutex
+	// failedAt is when peers last gave less than was asked for, by team.
+	failedAt map[string]time.Duration
 }
 
 // Borrow reports whether tokens of the team came in from a peer.
 func (le *lender) Borrow(ctx context.Context, team string, tokens int64) bool {
 	cf := le.edge.config
 	now := cf.Clock()
-	if !le.begin(team, now) {
+	if !le.mayAsk(team, now) {
 		return false
 	}
-	names, want := le.edge.purses.Of(team).Lenders(now, team, tokens)
+	names, want := le.edge.purses.Of(team).Lenders(now, team, tokens, rand.Float64)
 	got := le.edge.mesh.Borrow(ctx, team, want, names)
 	if got > 0 {
 		le.edge.purses.Of(team).Take(team, got)
 		cf.Logger.Info("tokens taken", "team", team, "asked", want, "got", got, "from", names)
 	}
+	if got < want {
+		le.failed(team, now)
+	}
 	return got > 0
 }
 
-func (le *lender) begin(team string, now time.Duration) bool {
+// mayAsk reports whether peers should be asked: shortly after they gave less than was asked for they are not.
+func (le *lender) mayAsk(team string, now time.Duration) bool {
 	le.mu.Lock()
 	defer le.mu.Unlock()
-	if at, ok := le.asked[team]; ok && now-at < borrowInterval {
-		return false
-	}
-	le.asked[team] = now
-	return true
+	at, ok := le.failedAt[team]
+	return !ok || now-at >= borrowPause
+}
+
+func (le *lender) failed(team string, now time.Duration) {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	le.failedAt[team] = now
 }
 
-// Give returns how many tokens of the team were moved to a peer.
-func (le *lender) Give(team string, tokens int64) int64 {
-	given := le.edge.purses.Of(team).Give(le.edge.config.Clock(), team, tokens)
+// Give returns how many tokens of the team were moved to a peer; where only the ceiling forbids it, the next row is waited for.
+func (le *lender) Give(ctx context.Context, team string, tokens int64) int64 {
+	pu := le.edge.purses.Of(team)
+	clock := le.edge.config.Clock
+	given, capped := pu.Give(clock(), team, tokens)
+	if capped {
+		changed := pu.Await(clock(), team, tokens-given)
+		le.await(ctx, changed)
+		pu.Leave(team, tokens-given)
+		more, _ := pu.Give(clock(), team, tokens-given)
+		given += more
+	}
 	if given > 0 {
-		le.edge.config.Logger.Info("tokens given", "team", team, "asked", tokens, "given", given)
+		le.edge.config.Logger.Info("tokens given", "team", team, "asked", tokens, "given", given, "capped", capped)
 	}
 	return given
 }
+
+func (le *lender) await(ctx context.Context, changed <-chan struct{}) {
+	ti := time.NewTimer(giveWait)
+	defer ti.Stop()
+	select {
+	case <-changed:
+	case <-ti.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -12,6 +12,8 @@
 	reserveWaitShare = 0.4
 	// capWait is how long a request waits for a new row before peers are asked: several round trips to the store.
 	capWait = 60 * time.Millisecond
+	// maxBorrows is how often other instances are asked for the tokens of one request.
+	maxBorrows = 3
 	// lackingRetry is when a caller should return if this instance has too few tokens; grants are divided anew about once a second.
 	lackingRetry = 800 * time.Millisecond
 	// strandedRetry is when a caller should return if only a top-up can cover the request.
@@ -54,12 +56,12 @@
 	}
 }
 
-// borrow asks the other instances for tokens, once for each request.
+// borrow asks the other instances for tokens, a few times for each request: what came in may go to another one first.
 func (vi *visit) borrow(tokens int64) bool {
-	if vi.borrowed {
+	if vi.borrowed >= maxBorrows {
 		return false
 	}
-	vi.borrowed = true
+	vi.borrowed++
 	return vi.gate.config.Lender.Borrow(vi.request.Context(), vi.team, tokens)
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -115,7 +115,7 @@
 	ends     time.Duration
 	reserved int64
 	cost     int64
-	borrowed bool
+	borrowed int
 	trail    trail
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -60,6 +61,7 @@
 	http   *http.Client
 	mu     sync.Mutex
 	peers  map[string]*peer
+	names  map[string]bool
 	// failedAt is when the store itself last failed for any topic, or zero.
 	failedAt atomic.Int64
 }
@@ -67,7 +69,7 @@
 // New returns a mesh that knows no peer.
 func New(config Config) *Mesh {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return &Mesh{config: config, peers: map[string]*peer{}, http: &http.Client{Transport: &http.Transport{
+	return &Mesh{config: config, peers: map[string]*peer{}, names: map[string]bool{config.Self.Name: true}, http: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 2, DisableCompression: true,
 	}}}
 }
@@ -93,15 +95,24 @@
 		var mb Member
 		if len(re.Value) == 0 || json.Unmarshal(re.Value, &mb) != nil || mb.Address == "" {
 			delete(me.peers, name)
+			delete(me.names, name)
 			continue
 		}
 		if old, ok := me.peers[name]; ok && old.member == mb {
 			continue
 		}
+		me.names[name] = true
 		me.peers[name] = &peer{member: mb, client: meshpb.NewMeshProtobufClient("http://"+mb.Address, me.http)}
 	}
 }
 
+// Members returns the names of all instances that have announced themselves, this one included, in ascending order.
+func (me *Mesh) Members() []string {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	return slices.Sorted(maps.Keys(me.names))
+}
+
 // candidates returns the peers to ask, in the given order or else those of the own failure domain first.
 func (me *Mesh) candidates(first []string) []*peer {
 	me.mu.Lock()
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -16,7 +16,7 @@
 
 // Giver moves unused tokens to peers.
 type Giver interface {
-	Give(team string, tokens int64) int64
+	Give(ctx context.Context, team string, tokens int64) int64
 }
 
 // ServerConfig holds the parts of a server; Topics are those that it passes calls on to, by name.
@@ -63,8 +63,8 @@
 }
 
 // Give moves unused tokens of a team to the caller.
-func (se *server) Give(_ context.Context, rq *meshpb.GiveRequest) (*meshpb.GiveResponse, error) {
-	return &meshpb.GiveResponse{Tokens: se.config.Giver.Give(rq.GetTeam(), max(0, rq.GetTokens()))}, nil
+func (se *server) Give(ctx context.Context, rq *meshpb.GiveRequest) (*meshpb.GiveResponse, error) {
+	return &meshpb.GiveResponse{Tokens: se.config.Giver.Give(ctx, rq.GetTeam(), max(0, rq.GetTokens()))}, nil
 }
 
 func (se *server) topic(name string) (keyed.Topic, error) {
--- a/pkg/purse/account.go
+++ b/pkg/purse/account.go
@@ -26,7 +26,9 @@
 	// lost is the part of spent that earlier lives may not have spent.
 	lost    int64
 	waiting int64
-	demand  meter
+	// demand is what is spent here and given to peers, own what is spent here.
+	demand meter
+	own    meter
 	// typical is the moving average of reservations.
 	typical int64
 	// neededAt is when a lack of grant was last signalled.
--- a/pkg/purse/build.go
+++ b/pkg/purse/build.go
@@ -20,7 +20,7 @@
 	// typicalRequests is how many requests of the usual size a ceiling leaves room for beside the demand.
 	typicalRequests = 2
 	// keepSeconds is the demand in seconds that an instance does not give away.
-	keepSeconds = 2
+	keepSeconds = 1
 	// aliveSpan is how long an instance counts after its last row; rows are renewed every renewSpan.
 	aliveSpan = 8 * time.Second
 	// renewSpan is how often an instance writes rows that have not changed.
@@ -194,6 +194,9 @@
 		return min(old, used)
 	}
 	others := pu.sumGranted(ac.team) - old
+	if !pu.isHome(ac.team, now) {
+		return min(old, used)
+	}
 	entitled := max(used+pu.entitlement(ac, now), used+ac.waiting)
 	if others+old > total {
 		entitled = used
@@ -221,12 +224,13 @@
 	left := pu.totals[ac.team]
 	own := ac.demand.perSecond(now)
 	holders, demand := int64(1), own
+	homes := pu.homes(ac.team, now)
 	for instance, ho := range pu.rows[ac.team] {
 		if instance == pu.config.Instance {
 			continue
 		}
 		left -= ho.row.usedAtLeast()
-		if now-ho.seenAt > aliveSpan {
+		if now-ho.seenAt > aliveSpan || !slices.Contains(homes, instance) {
 			// An instance that writes no more keeps its grant, which it may still spend.
 			left -= ho.row.Granted - ho.row.usedAtLeast()
 			continue
@@ -252,6 +256,10 @@
 
 // due reports whether a row says enough that is new.
 func (pu *Purse) due(ac *account, row Row, now time.Duration) bool {
+	if _, ok := pu.rows[ac.team][pu.config.Instance]; !ok && !pu.isHome(ac.team, now) {
+		// What a borrower spends counts at the lender.
+		return false
+	}
 	if ac.held == nil || len(ac.pending) > 0 {
 		return true
 	}
--- a/pkg/purse/property_test.go
+++ b/pkg/purse/property_test.go
@@ -235,7 +235,7 @@
 			},
 			"move": func(tt *rapid.T) {
 				from, to := wo.holders[index.Draw(tt, "from")], wo.holders[index.Draw(tt, "to")]
-				given := from.purse.Give(wo.now, propertyTeam, rapid.Int64Range(1, 100).Draw(tt, "tokens"))
+				given, _ := from.purse.Give(wo.now, propertyTeam, rapid.Int64Range(1, 100).Draw(tt, "tokens"))
 				if from != to && rapid.Bool().Draw(tt, "arrives") {
 					to.purse.Take(propertyTeam, given)
 				}
--- a/pkg/purse/purse.go
+++ b/pkg/purse/purse.go
@@ -56,6 +56,8 @@
 	// stamp is when this life began, as compared with the rows of earlier lives.
 	stamp   func() Stamp
 	started time.Duration
+	// members are the names of all instances.
+	members []string
 	closing bool
 	urgent  chan struct{}
 }
@@ -96,9 +98,6 @@
 		}
 		return Covered
 	}
-	if ac.held == nil {
-		return Lacking
-	}
 	left, lost := pu.left(team)
 	switch {
 	case left < tokens:
@@ -142,37 +141,49 @@
 	ac.reserved -= reserved
 	ac.spent += min(cost, reserved)
 	ac.demand.add(now, cost)
+	ac.own.add(now, cost)
 	ac.notify()
 }
 
 // Give moves up to the given tokens out of the grant to a peer and returns how many; they count as spent here.
-func (pu *Purse) Give(now time.Duration, team string, tokens int64) int64 {
+//
+// Capped reports that the grant would cover more than the ceiling does, which the next row lifts.
+func (pu *Purse) Give(now time.Duration, team string, tokens int64) (given int64, capped bool) {
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
 	ac := pu.account(team)
-	spare := ac.limit(now, pu.excess(team)) - ac.used() - ac.waiting
-	keep := ac.demand.perSecond(now) * keepSeconds
-	given := max(0, min(tokens, spare-keep))
-	ac.given += given
-	return given
+	excess := pu.excess(team)
+	taken := ac.used() + ac.waiting + ac.own.perSecond(now)*keepSeconds
+	given = max(0, min(tokens, ac.limit(now, excess)-taken))
+	if given > 0 {
+		ac.given += given
+		ac.demand.add(now, given)
+		ac.noteSize(given)
+	}
+	return given, given < tokens && taken+tokens-given <= ac.granted()-excess
 }
 
-// Lenders returns the instances that have most of a team's tokens unused, as far as the topic shows, and what this instance should ask them for.
-func (pu *Purse) Lenders(now time.Duration, team string, tokens int64) ([]string, int64) {
+// Lenders returns whom to ask for tokens of a team, most promising first, and how many to ask for; random spreads the askers.
+func (pu *Purse) Lenders(now time.Duration, team string, tokens int64, random func() float64) ([]string, int64) {
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
 	var names []string
-	unused := map[string]int64{}
+	unused := map[string]float64{}
 	for instance, ho := range pu.rows[team] {
 		if instance == pu.config.Instance {
 			continue
 		}
 		names = append(names, instance)
-		unused[instance] = ho.row.Granted - ho.row.Spent
+		// An instance comes first as often as its part of what is unused.
+		unused[instance] = random() * float64(max(1, ho.row.Granted-ho.row.Spent))
 	}
-	slices.SortFunc(names, func(aa, bb string) int { return cmp.Compare(unused[bb], unused[aa]) })
+	slices.Sort(names)
+	slices.SortStableFunc(names, func(aa, bb string) int { return cmp.Compare(unused[bb], unused[aa]) })
 	ac := pu.account(team)
-	short := max(0, ac.used()+tokens-ac.granted())
+	short := max(tokens, ac.used()+tokens-ac.granted())
+	if !pu.isHome(team, now) {
+		return names, max(0, ac.used()+tokens-ac.granted())
+	}
 	return names, short + max(ac.waiting, ac.demand.perSecond(now)*borrowSeconds)
 }
 
--- a/pkg/purse/set.go
+++ b/pkg/purse/set.go
@@ -51,6 +51,13 @@
 	return most
 }
 
+// SetMembers takes the names of all instances that have announced themselves, this one included.
+func (st *Set) SetMembers(names []string) {
+	for _, pu := range st.shards {
+		pu.SetMembers(names)
+	}
+}
+
 // Close returns every unused grant with the next rows.
 func (st *Set) Close() {
 	for _, pu := range st.shards {
