--- a/internal/cmds/edge.go
+++ b/internal/cmds/edge.go
@@ -40,12 +40,12 @@
 			if err != nil {
 				return fail(ExitUsage, "the settings cannot be read: %s", err)
 			}
-			return runEdge(ctx, se)
+			return runEdge(ctx, se, cm.String("config"))
 		},
 	}
 }
 
-func runEdge(ctx context.Context, se config.Edge) error {
+func runEdge(ctx context.Context, se config.Edge, path string) error {
 	debug.SetMemoryLimit(se.MemoryMegabytes * megabyte * memoryPercent / 100)
 	sink := logs.NewSink(os.Stdout)
 	lctx, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -65,6 +65,7 @@
 		},
 		Clock:  func() time.Duration { return time.Since(begun) + 1 },
 		Stamp:  func() purse.Stamp { return purse.Stamp{Wall: time.Now(), Boot: daemon.BootTime()} },
+		Reload: func() (config.Edge, error) { return config.LoadEdge(path) },
 		Logger: sink.Logger(), Dropped: sink.Dropped,
 	})
 	err := ed.Run(ctx)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -55,6 +55,8 @@
 	// Stamp reads the clocks that outlive the process.
 	Stamp  func() purse.Stamp
 	Logger logr.Logger
+	// Reload reads the settings again; nil where they never change.
+	Reload func() (config.Edge, error)
 	// Dropped returns how many log lines were left out.
 	Dropped func() int64
 }
@@ -151,7 +153,7 @@
 	defer stop()
 	var group run.Group
 	loops := []func(context.Context) error{
-		ed.planner.run, ed.directory.run, ed.front.run, ed.front.runReadiness, ed.front.runPeers, ed.runSweep,
+		ed.planner.run, ed.directory.run, ed.front.run, ed.front.runReadiness, ed.front.runPeers, ed.runSweep, ed.runReload,
 	}
 	for _, gr := range ed.grants {
 		loops = append(loops, gr.run)
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -85,11 +85,19 @@
 	if err != nil {
 		cf.Logger.Error(err, "announcement not encoded")
 	}
+	var crashes []keyed.Record
+	if gr.shard == 0 {
+		crashes = gr.edge.guard.take()
+		list = append(list, crashes...)
+	}
 	if len(list) == 0 {
 		gr.announced = true
 		return grantInterval
 	}
 	err = gr.view.Append(ctx, list)
+	if err != nil {
+		gr.edge.guard.putBack(crashes)
+	}
 	switch {
 	case err == nil:
 		gr.announced = true
@@ -136,12 +144,16 @@
 func (gr *grants) Reset(list []keyed.Record) {
 	gr.purse.Reset(gr.edge.config.Clock(), list)
 	gr.readMembers(list)
-	gr.edge.guard.read(list)
+	if gr.shard == 0 {
+		gr.edge.guard.read(list)
+	}
 }
 
 // Changed takes new rows.
 func (gr *grants) Changed(list []keyed.Record) {
 	gr.purse.Changed(gr.edge.config.Clock(), list)
 	gr.readMembers(list)
-	gr.edge.guard.read(list)
+	if gr.shard == 0 {
+		gr.edge.guard.read(list)
+	}
 }
--- a/internal/edge/guard.go
+++ b/internal/edge/guard.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -8,19 +10,22 @@
 )
 
 const (
+	// crashPrefix begins the keys under which instances tell each other of crashes.
+	crashPrefix = "crash/"
 	// crashLimit is the number of endpoints that a content may crash before it is kept away.
-	crashLimit = 2
+	crashLimit = 3
 	// crashSpan is how long a crash is remembered.
 	crashSpan = 60 * time.Second
-	// maxSuspects bounds the contents that are remembered.
+	// maxSuspects bounds the contents that are remembered, and what waits to be told.
 	maxSuspects = 4096
 )
 
-// guard counts which endpoints ended while they ran a content.
+// guard counts which endpoints ended while they ran a content; instances tell each other through the store.
 type guard struct {
 	mu       sync.Mutex
 	clock    func() time.Duration
 	suspects map[uint64]map[string]time.Duration
+	untold   []keyed.Record
 }
 
 func newGuard(clock func() time.Duration) *guard {
@@ -44,20 +49,60 @@
 func (gu *guard) Crashed(content uint64, endpoint string) {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
+	if gu.note(content, endpoint) && len(gu.untold) < maxSuspects {
+		gu.untold = append(gu.untold, keyed.Record{Key: fmt.Sprintf("%s%016x/%s", crashPrefix, content, endpoint), Value: []byte{1}})
+	}
+}
+
+// Cleared notes that the content was answered.
+func (gu *guard) Cleared(content uint64) {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	delete(gu.suspects, content)
+}
+
+// note remembers a crash and reports whether it is new; the lock is held.
+func (gu *guard) note(content uint64, endpoint string) bool {
 	if len(gu.suspects) >= maxSuspects {
-		gu.suspects = map[uint64]map[string]time.Duration{}
+		clear(gu.suspects)
 	}
 	if gu.suspects[content] == nil {
 		gu.suspects[content] = map[string]time.Duration{}
 	}
+	_, known := gu.suspects[content][endpoint]
 	gu.suspects[content][endpoint] = gu.clock()
+	return !known
 }
 
-// Cleared notes that the content was answered.
-func (gu *guard) Cleared(content uint64) {
+// take returns the records that other instances should read.
+func (gu *guard) take() []keyed.Record {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
-	delete(gu.suspects, content)
+	list := gu.untold
+	gu.untold = nil
+	return list
+}
+
+// putBack keeps records that were not appended.
+func (gu *guard) putBack(list []keyed.Record) {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	gu.untold = append(list, gu.untold...)
 }
 
-func (gu *guard) read([]keyed.Record) {}
+// read takes what other instances have told.
+func (gu *guard) read(list []keyed.Record) {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	for _, re := range list {
+		rest, ok := strings.CutPrefix(re.Key, crashPrefix)
+		if !ok || len(re.Value) == 0 {
+			continue
+		}
+		hash, endpoint, _ := strings.Cut(rest, "/")
+		var content uint64
+		if _, err := fmt.Sscanf(hash, "%x", &content); err == nil {
+			gu.note(content, endpoint)
+		}
+	}
+}
--- /dev/null
+++ b/internal/edge/guard_test.go
@@ -0,0 +1,33 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestGuard lets two instances see the crashes of one content.
+func TestGuard(tt *testing.T) {
+	now := time.Second
+	clock := func() time.Duration { return now }
+	first, second := newGuard(clock), newGuard(clock)
+	const content = 0xabcdef
+	steps := []struct {
+		name string
+		do   func()
+		want []bool
+	}{
+		{"two crashes here", func() { first.Crashed(content, "a"); first.Crashed(content, "b"); first.Crashed(content, "b") }, []bool{false, false}},
+		{"one crash elsewhere", func() { second.Crashed(content, "c") }, []bool{false, false}},
+		{"told to the other", func() { second.read(first.take()) }, []bool{false, true}},
+		{"told back", func() { first.read(second.take()) }, []bool{true, true}},
+		{"forgotten after a while", func() { now += crashSpan }, []bool{false, false}},
+	}
+	for _, st := range steps {
+		st.do()
+		if diff := cmp.Diff(st.want, []bool{first.Held(content), second.Held(content)}); diff != "" {
+			tt.Errorf("%s: %s", st.name, diff)
+		}
+	}
+}
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -17,6 +17,8 @@
 const (
 	// maxWholeBytes bounds an answer that is held until it is whole.
 	maxWholeBytes = 4 << 20
+	// maxCrashEvents is how far a stream gets whose request crashes the endpoint when it begins to run.
+	maxCrashEvents = 1
 	// writeGrace is how long beyond its timeout an answer may still be written to a caller that reads slowly.
 	writeGrace = 500 * time.Millisecond
 )
@@ -82,7 +84,7 @@
 }
 
 // relayStream passes whole events on as they arrive.
-func (fw *forwarding) relayStream(ex *conns.Exchange, sd *place.Send, watch *time.Timer) (place.Outcome, error) {
+func (fw *forwarding) relayStream(ex *conns.Exchange, de place.Decision, sd *place.Send, watch *time.Timer) (place.Outcome, error) {
 	vi := fw.visit
 	rd := events.NewReader(ex.Answer.Body)
 	joined := fw.headed
@@ -93,6 +95,9 @@
 			return fw.endStream(ex)
 		}
 		if err != nil {
+			if fw.events <= maxCrashEvents && fw.ctx.Err() == nil && !fw.silent.Load() {
+				vi.gate.config.Quarantine.Crashed(vi.content, de.Endpoint.ID)
+			}
 			return fw.broken(fault.Wrap(err, fault.Upstream, fault.MayHaveRun, "the stream broke off"))
 		}
 		sd.Started(vi.now())
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -75,7 +76,8 @@
 	lastEvent int64
 	events    int64
 	headed    bool
-	lastErr   error
+	// silent is whether an endpoint was given up because it was silent for too long.
+	silent atomic.Bool
 }
 
 func (fw *forwarding) run() error {
@@ -88,7 +90,6 @@
 		if err == nil {
 			return nil
 		}
-		fw.lastErr = err
 		if !fw.again(err) {
 			return fw.conclude(err)
 		}
@@ -194,7 +195,10 @@
 	silence := fw.silence(de)
 	var watch *time.Timer
 	if silence > 0 {
-		watch = time.AfterFunc(silence, cancel)
+		watch = time.AfterFunc(silence, func() {
+			fw.silent.Store(true)
+			cancel()
+		})
 		defer watch.Stop()
 	}
 	ex, err := cf.Pool.Do(ctx, de.Endpoint.Address, conns.Request{
@@ -218,7 +222,7 @@
 	}
 	fw.verdict = fault.MayHaveRun
 	if vi.route.Stream && ex.Answer.StatusCode < 300 && re.Genuine {
-		return fw.relayStream(ex, sd, watch)
+		return fw.relayStream(ex, de, sd, watch)
 	}
 	return fw.relayWhole(ex, re)
 }
--- a/pkg/allow/allow.go
+++ b/pkg/allow/allow.go
@@ -27,6 +27,7 @@
 	config   Config
 	peers    int
 	started  time.Duration
+	last     time.Duration
 	services map[string]*window
 }
 
@@ -42,6 +43,18 @@
 	al.peers = max(1, count)
 }
 
+// SetConfig takes another rule; what was counted stays.
+func (al *Allowance) SetConfig(config Config) {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	if config.Window != al.config.Window {
+		// The buckets of another window cannot be compared, so the headroom is earned anew.
+		al.services = map[string]*window{}
+		al.started = al.last
+	}
+	al.config = config
+}
+
 // Note counts a first send of a request.
 func (al *Allowance) Note(now time.Duration, service string) {
 	al.mu.Lock()
@@ -68,6 +81,7 @@
 }
 
 func (al *Allowance) slot(now time.Duration) int64 {
+	al.last = now
 	return int64(now / (al.config.Window / buckets))
 }
 
