--- /dev/null
+++ b/internal/soak/fleet_test.go
@@ -0,0 +1,205 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/clementineweir/clementineweir/platform/stand"
+	"github.com/clementineweir/clementineweir/platform/wire"
+)
+
+const (
+	host       = "service.example"
+	teamKey    = "key-1"
+	events     = 8
+	stride     = 7
+	hangGuard  = 60 * time.Second
+	eventPause = 5 * time.Millisecond
+)
+
+// node is one instance of the program with its settings file.
+type node struct {
+	name    string
+	path    string
+	caller  string
+	ready   string
+	mu      sync.Mutex
+	process *os.Process
+	ended   chan struct{}
+	paused  bool
+	log     *os.File
+}
+
+// world is a store, endpoints and instances, and the proxies between them.
+type world struct {
+	tt      *testing.T
+	binary  string
+	store   *stand.Store
+	proxies []*proxy
+	models  []*stand.Endpoint
+	plains  []*stand.Endpoint
+	nodes   []*node
+	prepaid int64
+	version int
+}
+
+func newWorld(tt *testing.T, count int, prepaid int64) *world {
+	wo := &world{tt: tt, binary: filepath.Join(tt.TempDir(), "clementineweir"), store: stand.NewStore(), prepaid: prepaid}
+	if out, err := exec.Command("go", "build", "-o", wo.binary, "../../cmd/clementineweir").CombinedOutput(); err != nil {
+		tt.Fatalf("build: %s", out)
+	}
+	storeAddress := wo.serve(wo.store)
+	for ix := range 3 {
+		wo.models = append(wo.models, wo.endpoint("model", ix, events))
+	}
+	for ix := range 2 {
+		wo.plains = append(wo.plains, wo.endpoint("plain", ix, 0))
+	}
+	wo.configure()
+	for ix := range count {
+		wo.addNode(fmt.Sprint("instance-", ix), wo.proxy(storeAddress))
+	}
+	tt.Cleanup(wo.end)
+	return wo
+}
+
+func (wo *world) serve(handler http.Handler) string {
+	se := httptest.NewServer(handler)
+	wo.tt.Cleanup(se.CloseClientConnections)
+	return strings.TrimPrefix(se.URL, "http://")
+}
+
+func (wo *world) proxy(target string) string {
+	pr, err := newProxy(target)
+	if err != nil {
+		wo.tt.Fatal(err)
+	}
+	wo.proxies = append(wo.proxies, pr)
+	return pr.address()
+}
+
+func (wo *world) endpoint(service string, ix, length int) *stand.Endpoint {
+	id := fmt.Sprintf("%s-%d", service, ix)
+	en := stand.NewEndpoint(stand.EndpointConfig{ID: id, Service: service, Domain: "zone-a", Slots: 32, Events: length, Pause: eventPause})
+	wo.store.Put(wire.RegistrationTopic, id, en.Registration(wo.proxy(wo.serve(en)), "ready", 1))
+	return en
+}
+
+// configure writes the next version of the configuration.
+func (wo *world) configure() {
+	wo.version++
+	route := func(name, kind, service string, sends int, resume bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": host, "path_prefix": "/" + name + "/", "route_type": kind, "timeout_ms": 4000, "slo_ms": 500,
+			"service": service, "max_attempts": sends, "stream_resume": resume, "itl_target_ms": 300,
+		}
+	}
+	data, err := json.Marshal(map[string]any{
+		"version": wo.version,
+		"routes": []any{
+			route("resume", "streaming", "model", 2, true), route("stream", "streaming", "model", 1, false),
+			route("safe", "safe", "plain", 2, false), route("unsafe", "unsafe", "plain", 1, false),
+		},
+		"services": []any{map[string]any{"name": "model", "runtime": map[string]any{"slots": 32, "stride": stride}}, map[string]any{"name": "plain"}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants":  []any{map[string]any{"name": "team-1", "api_keys": []string{teamKey}, "prepaid": wo.prepaid}},
+	})
+	if err != nil {
+		wo.tt.Fatal(err)
+	}
+	wo.store.Put(wire.OperatorTopic, wire.ConfigurationKey, data)
+}
+
+func (wo *world) addNode(name, storeAddress string) {
+	free := func() string {
+		li, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			wo.tt.Fatal(err)
+		}
+		defer func() { _ = li.Close() }()
+		return li.Addr().String()
+	}
+	dir := wo.tt.TempDir()
+	no := &node{name: name, path: filepath.Join(dir, "settings.ini"), caller: free(), ready: free()}
+	text := fmt.Sprintf("[instance]\nname = %s\ndomain = zone-a\ncallerAddress = %s\nreadyAddress = %s\npeerAddress = %s\ngrace = 3s\n"+
+		"[store]\naddress = %s\n", name, no.caller, no.ready, free(), storeAddress)
+	if err := os.WriteFile(no.path, []byte(text), 0o600); err != nil {
+		wo.tt.Fatal(err)
+	}
+	log, err := os.Create(filepath.Join(dir, "log"))
+	if err != nil {
+		wo.tt.Fatal(err)
+	}
+	no.log = log
+	wo.nodes = append(wo.nodes, no)
+	wo.start(no)
+}
+
+func (wo *world) start(no *node) {
+	cm := exec.Command(wo.binary, "edge", "--config", no.path)
+	cm.Stdout, cm.Stderr = no.log, no.log
+	if err := cm.Start(); err != nil {
+		wo.tt.Fatal(err)
+	}
+	ended := make(chan struct{})
+	no.mu.Lock()
+	no.process, no.ended, no.paused = cm.Process, ended, false
+	no.mu.Unlock()
+	go func() {
+		_ = cm.Wait()
+		close(ended)
+	}()
+}
+
+// signal sends a signal to the instance, which is one that this test has started.
+func (no *node) signal(sig syscall.Signal) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	select {
+	case <-no.ended:
+	default:
+		_ = no.process.Signal(sig)
+	}
+}
+
+// restart ends the instance by a signal and starts it again.
+func (wo *world) restart(no *node, sig syscall.Signal) {
+	no.signal(syscall.SIGCONT)
+	no.signal(sig)
+	select {
+	case <-no.ended:
+	case <-time.After(hangGuard):
+		wo.tt.Errorf("%s did not end after %s", no.name, sig)
+		no.signal(syscall.SIGKILL)
+		<-no.ended
+	}
+	wo.start(no)
+}
+
+func (wo *world) end() {
+	for _, no := range wo.nodes {
+		no.signal(syscall.SIGCONT)
+		no.signal(syscall.SIGKILL)
+		<-no.ended
+	}
+}
+
+func (no *node) isReady() bool {
+	rs, err := http.Get("http://" + no.ready + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = rs.Body.Close()
+	return rs.StatusCode == http.StatusOK
+}
