Homes of shared parts are trusted, and reading a part again weighs three times

Cause: shared parts read again were the greatest price everywhere; an instance that had spilled a subject once kept sending it there, since it trusted the home by 60 in 100 only, and 31 instances spill to different places. Load pattern: few subjects with long shared prompts, many instances.

--- a/pkg/place/board.go
+++ b/pkg/place/board.go
@@ -28,7 +28,9 @@
 	// failureTime is what a recent failure adds to the expected time.
 	failureTime = 300 * time.Millisecond
 	// homeShare is the part of the shared prompt that the home of its parts is not expected to hold when this instance has not sent it there.
-	homeShare = 0.4
+	homeShare = 0.1
+	// rereadFactor weighs the time to read a shared part again, which delays all that run beside it, too.
+	rereadFactor = 3
 	// localTokens is the size of a shared prompt up to which reading it again is cheaper than another failure domain.
 	localTokens = 600
 	// waitingTokens is what a request that waits at an endpoint is assumed to have unread.
@@ -82,7 +84,7 @@
 			continue
 		}
 		first, unread := st.expect(now, se, rq, en == home)
-		cost := first + time.Duration(st.recentFailures(now)*float64(failureTime))
+		cost := first + time.Duration(st.recentFailures(now)*float64(failureTime)) + rereadTime(rq, unread)
 		if en.Domain != rq.Domain {
 			cost += domainTime
 		}
@@ -93,6 +95,15 @@
 	return best
 }
 
+// rereadTime returns what reading shared parts again costs beyond the wait of the request itself.
+func rereadTime(rq Request, unread int64) time.Duration {
+	if len(rq.Parts) < 2 {
+		return 0
+	}
+	shared := max(0, unread-rq.Parts[len(rq.Parts)-1].Tokens)
+	return time.Duration((rereadFactor - 1) * float64(shared) / readRate * float64(time.Millisecond))
+}
+
 // expect returns the expected time to the first event, or to the answer of a plain service, and the unread prompt tokens.
 func (st *state) expect(now time.Duration, se *plan.Service, rq Request, home bool) (time.Duration, int64) {
 	load := st.running + st.others(now)
