What a new life spends of a peer's tokens before it takes up its earlier life's row is not forgotten

A restarted instance could spend borrowed tokens before its takeover, which then replaced its own spending by the earlier life's. Ruled out: the rise of ceilings (rows were younger than its delay), lent tokens (counted at the lender). Change: what earlier lives used is kept apart from what this life spends.

--- a/pkg/purse/account.go
+++ b/pkg/purse/account.go
@@ -18,12 +18,13 @@
 	held *term
 	// pending are rows whose append got no clear answer, or is under way.
 	pending []term
-	// spent counts what this and all earlier lives have spent.
+	// spent counts what this life has spent.
 	spent int64
-	// inherited is whether spent holds what an earlier life left.
+	// earlier is what earlier lives have used of the grant, if inherited; it is below zero where they took more from peers than they spent.
+	earlier   int64
 	inherited bool
 	reserved  int64
-	// lost is the part of spent that earlier lives may not have spent.
+	// lost is the part of earlier that those lives may not have spent.
 	lost    int64
 	waiting int64
 	// demand is what is spent here and given to peers, own what is spent here.
@@ -44,7 +45,10 @@
 }
 
 // used returns what counts against the grant.
-func (ac *account) used() int64 { return ac.spent + ac.reserved + ac.given - ac.taken }
+func (ac *account) used() int64 { return ac.allSpent() + ac.reserved + ac.given - ac.taken }
+
+// allSpent returns what this and all earlier lives count as spent.
+func (ac *account) allSpent() int64 { return ac.earlier + ac.spent }
 
 // limit returns the bound on used; excess is what all grants together exceed the total by.
 func (ac *account) limit(now time.Duration, excess int64) int64 {
--- a/pkg/purse/build.go
+++ b/pkg/purse/build.go
@@ -155,7 +155,7 @@
 	slack = min(slack, max(0, granted-ac.used())*riskPercent/percent) + ac.waiting
 	slack = max(slack, max(0, granted-ac.used())/idleDivisor)
 	return Row{
-		Granted: granted, Base: ac.used() + slack, Rate: rate, Delay: ceilingDelay, Spent: ac.spent, Lost: ac.lost, Demand: demand,
+		Granted: granted, Base: ac.used() + slack, Rate: rate, Delay: ceilingDelay, Spent: ac.allSpent(), Lost: ac.lost, Demand: demand,
 		Need: ac.waiting, Wall: stamp.Wall.UnixMilli(), Boot: stamp.Boot.Milliseconds(), Life: pu.config.Life,
 	}
 }
@@ -175,10 +175,10 @@
 		spent = old.row.limit(elapsed)
 	}
 	// A life that took more from peers than it used has used less than nothing of its own grant.
-	if spent > ac.spent || !ac.inherited {
+	if spent > ac.earlier || !ac.inherited {
 		ac.inherited = true
 		ac.lost = max(0, old.row.Lost+spent-old.row.Spent)
-		ac.spent = spent
+		ac.earlier = spent
 	}
 }
 
--- a/pkg/purse/purse.go
+++ b/pkg/purse/purse.go
@@ -222,7 +222,7 @@
 	ac := pu.account(team)
 	left, lost := pu.left(team)
 	return Figures{
-		Granted: ac.granted(), Spent: ac.spent, Reserved: ac.reserved,
+		Granted: ac.granted(), Spent: ac.allSpent(), Reserved: ac.reserved,
 		Limit: ac.limit(now, pu.excess(team)), Left: left, Lost: lost,
 	}
 }
@@ -302,7 +302,7 @@
 // left returns what no instance has spent of the total, as far as the topic shows, and how much of it earlier lives may have spent.
 func (pu *Purse) left(team string) (left, lost int64) {
 	ac := pu.account(team)
-	left = pu.totals[team] - (ac.spent - ac.lost)
+	left = pu.totals[team] - (ac.allSpent() - ac.lost)
 	lost = ac.lost
 	for instance, ho := range pu.rows[team] {
 		if instance != pu.config.Instance {
