A stopping instance waits until its grants are back; ceilings rise in two slopes; silent endpoints get no more

Non-resumable streams were still sent to runners that had gone dark on kept connections. Change: the drain returns grants when callers are sent elsewhere and waits for the topics to say so; ceilings rise by 1.25 times the demand until 5 s, then by 3 more; an endpoint silent for over 0.4 s with own requests on it counts as slower by twice that.

--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -14,6 +14,8 @@
 	drainPoll = 50 * time.Millisecond
 	// settleTime is reserved for the last rows of the topic of grants before the process is killed.
 	settleTime = 600 * time.Millisecond
+	// exitTime is left between the last row and the end of the process.
+	exitTime = 200 * time.Millisecond
 	// sweepInterval is the pause between clean-ups.
 	sweepInterval = time.Second
 )
@@ -33,6 +35,8 @@
 	ed.draining.Store(true)
 	ed.config.Logger.Info("draining", "running", ed.front.active.Load(), "grace", ed.config.Settings.Grace.Seconds())
 	pause(loops, leaveTime)
+	// From here on what requests do not need goes back, and the few that still come borrow from peers.
+	ed.purses.Close()
 	ed.stopsAt.Store(int64(ed.config.Clock() + time.Until(ends)))
 	for ed.front.active.Load() > 0 && time.Now().Before(ends) {
 		pause(loops, drainPoll)
@@ -40,12 +44,19 @@
 	sctx, cancel := context.WithDeadline(loops, ends)
 	defer cancel()
 	ed.front.shutdown(sctx)
-	ed.purses.Close()
-	pause(loops, settleTime/3)
-	ed.config.Logger.Info("drained", "took", time.Since(begun).Seconds())
+	settled := ed.awaitSettled(loops, begun.Add(ed.config.Settings.Grace-exitTime))
+	ed.config.Logger.Info("drained", "took", time.Since(begun).Seconds(), "settled", settled)
 	return errDrained
 }
 
+// awaitSettled waits until the topics hold the last rows, and reports whether they do.
+func (ed *Edge) awaitSettled(ctx context.Context, ends time.Time) bool {
+	for !ed.purses.Settled() && time.Now().Before(ends) && ctx.Err() == nil {
+		pause(ctx, drainPoll)
+	}
+	return ed.purses.Settled()
+}
+
 // runSweep closes expired connections and forgets endpoints that are gone.
 func (ed *Edge) runSweep(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -101,6 +101,7 @@
 			return fw.broken(fault.Wrap(err, fault.Upstream, fault.MayHaveRun, "the stream broke off"))
 		}
 		sd.Started(vi.now())
+		sd.Heard(vi.now())
 		if watch != nil {
 			watch.Reset(fw.pause())
 		}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -213,6 +213,7 @@
 	}
 	defer ex.Close()
 	fw.sends++
+	sd.Heard(vi.now())
 	re := cf.Protocol.Reply(ex.Answer.StatusCode, ex.Answer.Header)
 	if re.HasLoad {
 		sd.Report(vi.now(), re.Load)
--- a/pkg/place/board.go
+++ b/pkg/place/board.go
@@ -31,6 +31,8 @@
 	homeShare = 0.1
 	// rereadFactor weighs the time to read a shared part again, which delays all that run beside it, too.
 	rereadFactor = 3
+	// silenceFactor weighs an endpoint's unusual silence: whoever joins those that wait may wait for as long again.
+	silenceFactor = 2
 	// localTokens is the size of a shared prompt up to which reading it again is cheaper than another failure domain.
 	localTokens = 600
 	// waitingTokens is what a request that waits at an endpoint is assumed to have unread.
@@ -85,6 +87,7 @@
 		}
 		first, unread := st.expect(now, se, rq, en == home)
 		cost := first + time.Duration(st.recentFailures(now)*float64(failureTime)) + rereadTime(rq, unread)
+		cost += silenceFactor * st.silence(now)
 		if en.Domain != rq.Domain {
 			cost += domainTime
 		}
--- a/pkg/place/send.go
+++ b/pkg/place/send.go
@@ -22,6 +22,9 @@
 	bo.mu.Lock()
 	defer bo.mu.Unlock()
 	st := bo.state(de.Endpoint, se)
+	if st.running == 0 {
+		st.heardAt.Store(int64(now))
+	}
 	st.running++
 	st.unread += de.Unread
 	st.circuit.Begin()
@@ -29,6 +32,9 @@
 	return &Send{board: bo, state: st, request: rq, begun: now, first: de.First, unread: de.Unread}
 }
 
+// Heard notes that the endpoint sent something.
+func (se *Send) Heard(now time.Duration) { se.state.heardAt.Store(int64(now)) }
+
 // Report notes the load that came with the answer.
 func (se *Send) Report(now time.Duration, lo Load) {
 	se.board.mu.Lock()
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/clementineweir/clementineweir/pkg/roster"
@@ -17,6 +18,8 @@
 	maxSlowness = 20
 	// reportSpan is how long a reported load is believed; it is replaced by the next answer.
 	reportSpan = 1500 * time.Millisecond
+	// usualSilence is how long a busy endpoint may send nothing: a long prompt delays first events by about as much.
+	usualSilence = 400 * time.Millisecond
 	// cacheShare is the part of an endpoint's memory that is assumed to hold prompts.
 	cacheShare = 0.6
 	// defaultMemory stands in for the memory of an endpoint that the configuration does not tell, in tokens.
@@ -40,6 +43,8 @@
 	latency time.Duration
 	load    Load
 	loadAt  time.Duration
+	// heardAt is when the endpoint last sent anything while it had own requests, or when the first of these was sent.
+	heardAt atomic.Int64
 	ownAt   int
 }
 
@@ -58,6 +63,14 @@
 	return max(0, st.load.Running+st.load.Waiting-st.ownAt)
 }
 
+// silence returns for how long the endpoint has been silent beyond what is usual, with own requests on it.
+func (st *state) silence(now time.Duration) time.Duration {
+	if st.running == 0 {
+		return 0
+	}
+	return max(0, now-time.Duration(st.heardAt.Load())-usualSilence)
+}
+
 func (st *state) waiting(now time.Duration) int {
 	if st.loadAt == 0 || now-st.loadAt > reportSpan {
 		return 0
--- a/pkg/purse/build.go
+++ b/pkg/purse/build.go
@@ -11,8 +11,13 @@
 const (
 	// ceilingDelay is the time without a new row after which a ceiling rises; a process that was killed is back by then.
 	ceilingDelay = 2600 * time.Millisecond
-	// ratePercent is the rise of a ceiling against the present demand: past the delay the store is away, and a burst must be served.
-	ratePercent = 400
+	// ratePercent is the rise of a ceiling against the present demand.
+	ratePercent = 125
+	// burstDelay is the time without a new row after which a ceiling rises faster: a machine that lost power is back by then, so the store
+	// is away, and a burst must be served.
+	burstDelay = 5 * time.Second
+	// burstPercent is the additional rise of a ceiling against the present demand.
+	burstPercent = 300
 	// slackPercent is what a ceiling leaves for the demand before it rises.
 	slackPercent = 120
 	// riskPercent bounds what the loss of all instances may cost a team: this part of what is left of its total.
@@ -156,7 +161,7 @@
 	slack = max(slack, max(0, granted-ac.used())/idleDivisor)
 	return Row{
 		Granted: granted, Base: ac.used() + slack, Rate: rate, Delay: ceilingDelay, Spent: ac.allSpent(), Lost: ac.lost, Demand: demand,
-		Need: ac.waiting, Wall: stamp.Wall.UnixMilli(), Boot: stamp.Boot.Milliseconds(), Life: pu.config.Life,
+		Burst: demand * burstPercent / percent, BurstDelay: burstDelay, Need: ac.waiting, Wall: stamp.Wall.UnixMilli(), Boot: stamp.Boot.Milliseconds(), Life: pu.config.Life,
 	}
 }
 
--- a/pkg/purse/purse.go
+++ b/pkg/purse/purse.go
@@ -204,6 +204,23 @@
 	pu.wake()
 }
 
+// Settled reports whether the topic holds all that this instance has used, and no grant beyond it.
+func (pu *Purse) Settled() bool {
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	for team := range pu.totals {
+		ac := pu.account(team)
+		_, known := pu.rows[team][pu.config.Instance]
+		if !known && ac.held == nil {
+			continue
+		}
+		if ac.held == nil || len(ac.pending) > 0 || ac.reserved > 0 || ac.held.row.Granted > ac.used() {
+			return false
+		}
+	}
+	return true
+}
+
 // Figures are the amounts of one team at this instance, in tokens.
 type Figures struct {
 	Granted  int64
--- a/pkg/purse/row.go
+++ b/pkg/purse/row.go
@@ -15,7 +15,7 @@
 type Row struct {
 	// Granted bounds what this and all earlier lives of the instance spend.
 	Granted int64 `cbor:"1,keyasint"`
-	// Base, Rate and Delay are the ceiling on what was spent and reserved, by the time since Wall and Boot.
+	// Base, Rate and Delay, with Burst and BurstDelay, are the ceiling on what was spent and reserved, by the time since Wall and Boot.
 	Base  int64         `cbor:"2,keyasint"`
 	Rate  int64         `cbor:"3,keyasint"`
 	Delay time.Duration `cbor:"4,keyasint"`
@@ -33,11 +33,16 @@
 	Life int64 `cbor:"10,keyasint"`
 	// Lost is the part of Spent that earlier lives may not have spent.
 	Lost int64 `cbor:"11,keyasint"`
+	// Burst is what the ceiling rises by in addition after BurstDelay, in tokens a second.
+	Burst      int64         `cbor:"12,keyasint"`
+	BurstDelay time.Duration `cbor:"13,keyasint"`
 }
 
 // ceiling returns what the writer of the row has spent and reserved at most, the given time after it was built.
 func (ro Row) ceiling(elapsed time.Duration) int64 {
-	return record.Ceiling{Base: ro.Base, TokensPerSecond: ro.Rate, Delay: ro.Delay}.At(elapsed)
+	first := record.Ceiling{Base: ro.Base, TokensPerSecond: ro.Rate, Delay: ro.Delay}
+	later := record.Ceiling{TokensPerSecond: ro.Burst, Delay: ro.BurstDelay}
+	return first.At(elapsed) + later.At(elapsed)
 }
 
 // limit returns what may be spent and reserved under the row.
--- a/pkg/purse/set.go
+++ b/pkg/purse/set.go
@@ -51,6 +51,16 @@
 	return most
 }
 
+// Settled reports whether the topics hold all that this instance has used, and no grant beyond it.
+func (st *Set) Settled() bool {
+	for _, pu := range st.shards {
+		if !pu.Settled() {
+			return false
+		}
+	}
+	return true
+}
+
 // SetMembers takes the names of all instances that have announced themselves, this one included.
 func (st *Set) SetMembers(names []string) {
 	for _, pu := range st.shards {
