--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -13,8 +13,10 @@
 const (
 	// grantInterval is how often rows are read and renewed without need; the older a row, the more its ceiling must allow.
 	grantInterval = 500 * time.Millisecond
-	// idleInterval is how often rows of others are read while there is nothing to append.
-	idleInterval = time.Second
+	// holderInterval is how often rows of others are read by a holder that has nothing to append.
+	holderInterval = time.Second
+	// borrowerInterval is the same for an instance without grants in the partition: it only needs to know whom to ask.
+	borrowerInterval = 3 * time.Second
 	// grantLeast is the least pause between appends when requests wait for tokens.
 	grantLeast = 60 * time.Millisecond
 	// conflictPause spreads instances that append at the same moment; one append takes the store some milliseconds.
@@ -67,7 +69,7 @@
 // step reads what others have appended, appends the own rows, and returns the delay until the next step.
 func (gr *grants) step(ctx context.Context) time.Duration {
 	cf := gr.edge.config
-	if now := cf.Clock(); gr.view.Loaded() && now-gr.readAt < idleInterval && !gr.purse.Due(now) && gr.announced {
+	if now := cf.Clock(); gr.view.Loaded() && now-gr.readAt < gr.idleInterval() && !gr.purse.Due(now) && gr.announced {
 		return grantInterval
 	}
 	if err := gr.view.Advance(ctx, 0); err != nil {
@@ -123,6 +125,13 @@
 	}
 }
 
+func (gr *grants) idleInterval() time.Duration {
+	if gr.shard == 0 || gr.purse.Holds() {
+		return holderInterval
+	}
+	return borrowerInterval
+}
+
 // withAnnouncement adds the record that makes this instance known to its peers, or unknown when it leaves.
 func (gr *grants) withAnnouncement(list []keyed.Record) ([]keyed.Record, error) {
 	switch {
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -110,7 +110,8 @@
 	}
 	if tr.candidates > 0 {
 		args = append(args, "endpoints", strings.Join(tr.endpoints, ","), "candidates", tr.candidates,
-			"expected", seconds(tr.expected), "unread", tr.unread)
+			"expected", seconds(tr.expected), "unread", tr.unread,
+			"registrationsAge", seconds(vi.gate.config.Roster.Age(now)))
 	}
 	if tr.first > 0 {
 		args = append(args, "first", seconds(tr.first-vi.begun))
@@ -132,7 +133,7 @@
 	}
 	fi := vi.gate.config.Purses.Of(vi.team).Figures(vi.now(), vi.team)
 	return []any{
-		"asked", vi.call.Prompt + vi.call.Output, "granted", fi.Granted, "spent", fi.Spent, "reserved", fi.Reserved,
+		"asked", vi.call.Prompt + vi.call.Output, "granted", fi.Granted, "grantAge", seconds(fi.Age), "spent", fi.Spent, "reserved", fi.Reserved,
 		"limit", fi.Limit, "left", fi.Left, "lost", fi.Lost,
 	}
 }
--- a/pkg/purse/purse.go
+++ b/pkg/purse/purse.go
@@ -204,6 +204,18 @@
 	pu.wake()
 }
 
+// Holds reports whether this instance has a row in the topic.
+func (pu *Purse) Holds() bool {
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	for _, rows := range pu.rows {
+		if _, ok := rows[pu.config.Instance]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // Settled reports whether the topic holds all that this instance has used, and no grant beyond it.
 func (pu *Purse) Settled() bool {
 	pu.mu.Lock()
@@ -227,6 +239,8 @@
 	Spent    int64
 	Reserved int64
 	Limit    int64
+	// Age is the time since the row in force was built.
+	Age time.Duration
 	// Left is what is left of the team's total, with Lost, which earlier lives may have spent.
 	Left int64
 	Lost int64
@@ -238,7 +252,12 @@
 	defer pu.mu.Unlock()
 	ac := pu.account(team)
 	left, lost := pu.left(team)
+	age := time.Duration(0)
+	if ac.held != nil {
+		age = now - ac.held.builtAt
+	}
 	return Figures{
+		Age:     age,
 		Granted: ac.granted(), Spent: ac.allSpent(), Reserved: ac.reserved,
 		Limit: ac.limit(now, pu.excess(team)), Left: left, Lost: lost,
 	}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -73,7 +73,9 @@
 	// returnedAt is when the store was last regained, or zero.
 	returnedAt time.Duration
 	failing    bool
-	services   atomic.Pointer[map[string][]*Endpoint]
+	// readAt is when the store was last read.
+	readAt   atomic.Int64
+	services atomic.Pointer[map[string][]*Endpoint]
 }
 
 // New returns a roster without endpoints.
@@ -97,6 +99,9 @@
 	return sum
 }
 
+// Age returns the time since the store was last read.
+func (ro *Roster) Age(now time.Duration) time.Duration { return now - time.Duration(ro.readAt.Load()) }
+
 // Failed reports that the store could not be read.
 func (ro *Roster) Failed() {
 	ro.mu.Lock()
@@ -106,6 +111,7 @@
 
 // Reached reports that the store was read, and drops the registrations that are still missing some time after its return.
 func (ro *Roster) Reached(now time.Duration) {
+	ro.readAt.Store(int64(now))
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 	if ro.failing {
