A moment without the store casts no doubt on registrations that end

Ruled out: reads that miss records (the read after the return held the removal). Change: doubt needs an outage of two missed heartbeats; while something is missing reads do not wait. Besides, fewer calls while the store is away (two peers tried, pause 0.35 s).

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -13,7 +13,7 @@
 	// directoryPause gathers heartbeats into one read; with the read itself it stays well below the time in which a leaving endpoint must get no more work.
 	directoryPause = 350 * time.Millisecond
 	// directoryWait is how long one read waits for a change; heartbeats come more often.
-	directoryWait = time.Second
+	directoryWait = 2 * time.Second
 )
 
 // directory follows the registrations of endpoints.
@@ -34,7 +34,11 @@
 
 func (di *directory) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		err := di.view.Advance(ctx, directoryWait)
+		wait := directoryWait
+		if di.edge.roster.Doubtful() {
+			wait = 0
+		}
+		err := di.view.Advance(ctx, wait)
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/internal/edge/planner.go
+++ b/internal/edge/planner.go
@@ -12,7 +12,7 @@
 	// planWait is how long one read waits for a new configuration; a connection that went silent is noticed after it.
 	planWait = 2 * time.Second
 	// retryPause is the pause after a failed call to the store.
-	retryPause = 250 * time.Millisecond
+	retryPause = 350 * time.Millisecond
 )
 
 // planner follows the configuration.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -30,7 +30,7 @@
 	// restTime is how long a peer that did not answer is left alone.
 	restTime = 2 * time.Second
 	// maxPeersTried bounds the peers that one call goes to.
-	maxPeersTried = 3
+	maxPeersTried = 2
 )
 
 // ErrAlone reports that no peer could be asked.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -12,6 +12,8 @@
 const (
 	// returnSpan is how long after the store's return a lapsed registration may take to come back: the platform's two seconds.
 	returnSpan = 2 * time.Second
+	// leastOutage is how long the store must have been out of reach for registrations to lapse wrongly: two missed heartbeats.
+	leastOutage = 2500 * time.Millisecond
 )
 
 // Endpoint is one registered life of an endpoint; it never changes.
@@ -111,13 +113,13 @@
 
 // Reached reports that the store was read, and drops the registrations that are still missing some time after its return.
 func (ro *Roster) Reached(now time.Duration) {
-	ro.readAt.Store(int64(now))
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
-	if ro.failing {
-		ro.failing = false
+	if ro.failing && ro.wasAway(now) {
 		ro.returnedAt = now
 	}
+	ro.failing = false
+	ro.readAt.Store(int64(now))
 	if ro.inDoubt(now) || len(ro.missing) == 0 {
 		return
 	}
@@ -186,7 +188,17 @@
 
 // inDoubt reports whether a registration may have lapsed only because the store was away.
 func (ro *Roster) inDoubt(now time.Duration) bool {
-	return ro.failing || (ro.returnedAt > 0 && now-ro.returnedAt < returnSpan)
+	return (ro.failing && ro.wasAway(now)) || (ro.returnedAt > 0 && now-ro.returnedAt < returnSpan)
+}
+
+// wasAway reports whether the last read is so old that registrations may have lapsed since only because the store was away.
+func (ro *Roster) wasAway(now time.Duration) bool { return ro.Age(now) >= leastOutage }
+
+// Doubtful reports whether registrations are missing that may still come back.
+func (ro *Roster) Doubtful() bool {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	return len(ro.missing) > 0
 }
 
 func (ro *Roster) publish() {
