--- /dev/null
+++ b/internal/edge/peers_test.go
@@ -0,0 +1,41 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/clementineweir/clementineweir/platform/wire"
+)
+
+// TestCutOffAlone cuts one instance from the store while its peer reaches it: configuration and tokens come through the peer.
+func TestCutOffAlone(tt *testing.T) {
+	fl := newFleet(tt, fleetConfig{instances: 1, prepaid: 20_000})
+	var cut atomic.Bool
+	whole := fl.storeURL
+	fl.storeURL = fl.listen(http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		if cut.Load() {
+			wr.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		fl.store.ServeHTTP(wr, rq)
+	}))
+	alone := fl.start("instance-alone")
+	fl.storeURL = whole
+	fl.await("the second instance holds tokens", func() bool { return alone.edge.Ready() && alone.figures().Granted > 0 })
+	cut.Store(true)
+	fl.store.Put(wire.OperatorTopic, wire.ConfigurationKey, manifest(2, 20_000))
+	fl.await("the new configuration came through the peer", func() bool { return alone.edge.Plan().Version() == 2 })
+	served := 0
+	for ix := range 100 {
+		got := fl.send(alone, request{id: fmt.Sprint("request-", ix), route: "resume", key: testKey, prompt: 100, output: testEvents * testStride})
+		if got.Status == http.StatusOK {
+			served++
+		}
+	}
+	// The instance's own share is about a half; the rest has come from its peer.
+	if served < 90 {
+		tt.Errorf("%d of 100 requests served, 100 fit into the total", served)
+	}
+}
