--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -65,6 +64,7 @@
 	for {
 		count, err := from.Read(buffer)
 		switch pr.current() {
+		case passing, modes:
 		case delayed:
 			time.Sleep(80 * time.Millisecond)
 		case silenced:
@@ -74,7 +74,7 @@
 				pr.hold(oneWay)
 			}
 		}
-		if _, werr := to.Write(buffer[:count]); werr != nil || err == io.EOF || err != nil {
+		if _, werr := to.Write(buffer[:count]); werr != nil || err != nil {
 			return
 		}
 	}
--- a/pkg/place/board_test.go
+++ b/pkg/place/board_test.go
@@ -86,8 +86,11 @@
 		{"an endpoint without a connection is passed over", func(bo *Board, list []*roster.Endpoint) {
 			bo.Begin(2*time.Second, model, Request{}, Decision{Endpoint: list[1]}).End(2*time.Second, Unreached)
 		}, Request{Domain: "zone-a", Left: time.Second}, []string{"endpoint-1"}, false},
-		{"endpoints that were tried are not tried again", func(*Board, []*roster.Endpoint) {},
-			Request{Domain: "zone-a", Left: time.Second, Tried: []string{"endpoint-0", "endpoint-1"}}, nil, true},
+		{
+			"endpoints that were tried are not tried again", func(*Board, []*roster.Endpoint) {},
+			Request{Domain: "zone-a", Left: time.Second, Tried: []string{"endpoint-0", "endpoint-1"}},
+			nil, true,
+		},
 		{"what cannot be answered in time is refused at once", func(bo *Board, list []*roster.Endpoint) {
 			for range 40 {
 				for _, en := range list {
@@ -96,8 +99,11 @@
 				}
 			}
 		}, Request{Prompt: 1000, Domain: "zone-a", Left: 2 * time.Second}, nil, true},
-		{"a long request is not refused for its length alone", func(*Board, []*roster.Endpoint) {},
-			Request{Prompt: 54_000, Domain: "zone-a", Left: 3200 * time.Millisecond}, nil, false},
+		{
+			"a long request is not refused for its length alone", func(*Board, []*roster.Endpoint) {},
+			Request{Prompt: 54_000, Domain: "zone-a", Left: 3200 * time.Millisecond},
+			nil, false,
+		},
 	}
 	for _, tc := range cases {
 		tt.Run(tc.name, func(tt *testing.T) {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -61,7 +61,9 @@
 			{at: 6 * time.Second, change: ended("a")},
 		}, nil},
 		{"a registration that ends after the store was out of reach for a moment is gone at once", []step{
-			{change: registered("a", 1, 1)}, {at: 8 * time.Second, reached: true}, {at: 9 * time.Second, failed: true},
+			{change: registered("a", 1, 1)},
+			{at: 8 * time.Second, reached: true},
+			{at: 9 * time.Second, failed: true},
 			{at: 9300 * time.Millisecond, change: ended("a")},
 		}, nil},
 		{"an older registration that arrives late revives nothing", []step{
