--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -58,32 +57,16 @@
 
 // manifest is the configuration that the operator writes, with one route of each kind.
 func manifest(version int, prepaid int64) []byte {
-	route := func(name, kind, service string, extra map[string]any) map[string]any {
-		ro := map[string]any{
-			"name": name, "host": testHost, "path_prefix": "/" + name + "/", "route_type": kind, "timeout_ms": 15000, "slo_ms": 2000,
-			"priority": 0, "service": service, "max_attempts": 2, "anonymous": false, "stream_resume": false, "itl_target_ms": 1000,
-		}
-		for key, val := range extra {
-			ro[key] = val
-		}
-		return ro
-	}
-	data, _ := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []any{
-			route("resume", "streaming", "model", map[string]any{"stream_resume": true}),
-			route("stream", "streaming", "model", map[string]any{"max_attempts": 1}),
-			route("safe", "safe", "plain", nil),
-			route("unsafe", "unsafe", "plain", map[string]any{"max_attempts": 1}),
+	return stand.Manifest{
+		Version: version, Host: testHost, TimeoutMs: 15_000, TargetMs: 2000, Model: "model", Plain: "plain", Stride: testStride,
+		Team: testTeam, Key: testKey, Prepaid: prepaid,
+		Routes: []stand.Route{
+			{Name: "resume", Kind: "streaming", Service: "model", Sends: 2, Resume: true},
+			{Name: "stream", Kind: "streaming", Service: "model", Sends: 1},
+			{Name: "safe", Kind: "safe", Service: "plain", Sends: 2},
+			{Name: "unsafe", Kind: "unsafe", Service: "plain", Sends: 1},
 		},
-		"services": []any{
-			map[string]any{"name": "model", "max_connections": 100, "runtime": map[string]any{"slots": 32, "kv_capacity": 100000, "stride": testStride}},
-			map[string]any{"name": "plain", "max_connections": 100},
-		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": testTeam, "api_keys": []string{testKey}, "priority": 1, "prepaid": prepaid}},
-	})
-	return data
+	}.Encode()
 }
 
 func newFleet(tt *testing.T, fc fleetConfig) *fleet {
@@ -206,14 +189,7 @@
 		fl.tt.Fatal(err)
 	}
 	hr.Host = testHost
-	hr.Header.Set("Attempt-Id", rq.id)
-	hr.Header.Set("X-Api-Key", rq.key)
-	hr.Header.Set("Deadline-Ms", "12000")
-	if rq.prompt > 0 {
-		hr.Header.Set("Model", "m")
-		hr.Header.Set("Token-Count", fmt.Sprintf("%d,%d", rq.prompt, rq.output))
-		hr.Header.Set("Prefix-Hash", fmt.Sprintf("aa:%d,%x:%d", rq.prompt/2, len(rq.id), rq.prompt-rq.prompt/2))
-	}
+	stand.Call{ID: rq.id, Key: rq.key, PatienceMs: 12_000, Prompt: rq.prompt, Output: rq.output}.Set(hr.Header)
 	for name, val := range rq.header {
 		hr.Header.Set(name, val)
 	}
--- a/internal/edge/path_test.go
+++ b/internal/edge/path_test.go
@@ -129,9 +129,9 @@
 		{"unknown key", request{id: "a", route: "safe", key: "key-2"}, http.StatusUnauthorized},
 		{"unknown route", request{id: "b", route: "none", key: testKey}, http.StatusNotFound},
 		{"without an ID", request{route: "safe", key: testKey}, http.StatusBadRequest},
-		{"bad sizes", request{id: "c", route: "resume", key: testKey, header: map[string]string{"Token-Count": "many"}}, http.StatusBadRequest},
-		{"negative sizes", request{id: "d", route: "resume", key: testKey, header: map[string]string{"Token-Count": "-5,7"}}, http.StatusBadRequest},
-		{"bad patience", request{id: "e", route: "safe", key: testKey, header: map[string]string{"Deadline-Ms": "soon"}}, http.StatusBadRequest},
+		{"bad sizes", request{id: "c", route: "resume", key: testKey, header: map[string]string{stand.HeaderSizes: "many"}}, http.StatusBadRequest},
+		{"negative sizes", request{id: "d", route: "resume", key: testKey, header: map[string]string{stand.HeaderSizes: "-5,7"}}, http.StatusBadRequest},
+		{"bad patience", request{id: "e", route: "safe", key: testKey, header: map[string]string{stand.HeaderPatience: "soon"}}, http.StatusBadRequest},
 		{"large body", request{id: "f", route: "unsafe", key: testKey, body: strings.Repeat("x", 65537)}, http.StatusRequestEntityTooLarge},
 		{"beyond the prepaid total", request{id: "g", route: "resume", key: testKey, prompt: 990, output: 11}, http.StatusPaymentRequired},
 		{"large headers", request{id: "h", route: "safe", key: testKey, header: map[string]string{"X-Large": strings.Repeat("x", 40000)}}, http.StatusRequestHeaderFieldsTooLarge},
@@ -153,7 +153,7 @@
 func TestForwardedExactly(tt *testing.T) {
 	fl := newFleet(tt, fleetConfig{instances: 1, prepaid: plenty})
 	fl.send(fl.instances[0], request{id: "id", route: "unsafe", key: testKey, body: "the body", header: map[string]string{
-		"Tenant": "team-9", "Expect-Instance": "other", "Connection": "X-Hop", "X-Hop": "1", "Retention": "r",
+		stand.HeaderTeam: "team-9", stand.HeaderEndpoint: "other", "Connection": "X-Hop", "X-Hop": "1", stand.HeaderRetention: "r",
 	}})
 	want := []stand.Run{{ID: "id", Team: testTeam, Target: "/unsafe/x?q=1", Body: "the body", Ended: true}}
 	if diff := cmp.Diff(want, fl.runsOf("id")); diff != "" {
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -64,7 +64,7 @@
 	an := &answer{status: ex.Answer.StatusCode, header: vi.gate.config.Protocol.Back(ex.Answer.Header), body: data}
 	vi.trail.status = an.status
 	if an.status >= http.StatusInternalServerError {
-		fw.fallback = &failed{answer: an}
+		fw.fallback = an
 		return place.Erred, fault.New(fault.Upstream, fault.Ran, "the endpoint failed with status "+strconv.Itoa(an.status))
 	}
 	if fw.headed {
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -121,13 +121,13 @@
 	}
 	if reason != "" {
 		args = append(args, "reason", reason)
-		args = append(args, vi.shortage(reason)...)
+		args = append(args, vi.shortage()...)
 	}
 	vi.gate.config.Logger.Info("request", append(args, more...)...)
 }
 
 // shortage returns the team's figures where a request was refused for lack of tokens.
-func (vi *visit) shortage(string) []any {
+func (vi *visit) shortage() []any {
 	if !vi.limited || !vi.call.Sized || vi.trail.status < http.StatusBadRequest || len(vi.trail.endpoints) > 0 {
 		return nil
 	}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -30,11 +30,6 @@
 	plainSilenceFactor = 1
 )
 
-// failed is a genuine answer of an endpoint that reports a failure; it goes to the caller if nothing better comes.
-type failed struct {
-	answer *answer
-}
-
 // forward sends the request to one endpoint after another until an answer was passed on, or none can be had.
 func (vi *visit) forward() error {
 	vi.content = vi.contentHash()
@@ -71,7 +66,8 @@
 	sends     int
 	unreached int
 	verdict   fault.Verdict
-	fallback  *failed
+	// fallback is a genuine answer that reports a failure; it goes to the caller if nothing better comes.
+	fallback *answer
 	// lastEvent and events are the id of the last event that was passed on, and how many were.
 	lastEvent int64
 	events    int64
@@ -162,7 +158,7 @@
 		return fault.Wrap(err, fault.Upstream, fault.Ran, "the stream broke off")
 	}
 	if fw.fallback != nil {
-		return fw.fallback.answer.write(vi.writer)
+		return fw.fallback.write(vi.writer)
 	}
 	fa := fault.From(err, fault.MayHaveRun)
 	if fw.verdict > fa.Verdict() {
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -99,25 +98,16 @@
 // configure writes the next version of the configuration.
 func (wo *world) configure() {
 	wo.version++
-	route := func(name, kind, service string, sends int, resume bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": host, "path_prefix": "/" + name + "/", "route_type": kind, "timeout_ms": 4000, "slo_ms": 500,
-			"service": service, "max_attempts": sends, "stream_resume": resume, "itl_target_ms": 300,
-		}
-	}
-	data, err := json.Marshal(map[string]any{
-		"version": wo.version,
-		"routes": []any{
-			route("resume", "streaming", "model", 2, true), route("stream", "streaming", "model", 1, false),
-			route("safe", "safe", "plain", 2, false), route("unsafe", "unsafe", "plain", 1, false),
+	data := stand.Manifest{
+		Version: wo.version, Host: host, TimeoutMs: patience, TargetMs: 500, Model: "model", Plain: "plain", Stride: stride,
+		Team: "team-1", Key: teamKey, Prepaid: wo.prepaid,
+		Routes: []stand.Route{
+			{Name: "resume", Kind: "streaming", Service: "model", Sends: 2, Resume: true},
+			{Name: "stream", Kind: "streaming", Service: "model", Sends: 1},
+			{Name: "safe", Kind: "safe", Service: "plain", Sends: 2},
+			{Name: "unsafe", Kind: "unsafe", Service: "plain", Sends: 1},
 		},
-		"services": []any{map[string]any{"name": "model", "runtime": map[string]any{"slots": 32, "stride": stride}}, map[string]any{"name": "plain"}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []any{map[string]any{"name": "team-1", "api_keys": []string{teamKey}, "prepaid": wo.prepaid}},
-	})
-	if err != nil {
-		wo.tt.Fatal(err)
-	}
+	}.Encode()
 	wo.store.Put(wire.OperatorTopic, wire.ConfigurationKey, data)
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -179,13 +179,12 @@
 	}
 	hr.Host = host
 	hr.GetBody = nil
-	hr.Header.Set("Attempt-Id", rq.id)
-	hr.Header.Set("X-Api-Key", teamKey)
-	hr.Header.Set("Deadline-Ms", fmt.Sprint(patience))
+	ca := stand.Call{ID: rq.id, Key: teamKey, PatienceMs: patience}
 	isStream := rq.route == "resume" || rq.route == "stream"
 	if isStream {
-		hr.Header.Set("Token-Count", fmt.Sprintf("%d,%d", prompt, events*stride))
+		ca.Prompt, ca.Output = prompt, events*stride
 	}
+	ca.Set(hr.Header)
 	rs, err := client.Do(hr)
 	if err != nil {
 		return
--- a/pkg/purse/purse.go
+++ b/pkg/purse/purse.go
@@ -1,21 +1,13 @@
 package purse
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
-
-	"github.com/clementineweir/clementineweir/pkg/keyed"
-	"github.com/clementineweir/clementineweir/pkg/record"
 )
 
 // needInterval is how often a lack of grant is published; the others answer it with their next rows.
 const needInterval = 300 * time.Millisecond
 
-// borrowSeconds is the demand in seconds that is borrowed beside what is short.
-const borrowSeconds = 1
-
 // Config names the owner of a purse.
 type Config struct {
 	Instance string
@@ -145,57 +137,6 @@
 	ac.notify()
 }
 
-// Give moves up to the given tokens out of the grant to a peer and returns how many; they count as spent here.
-//
-// Capped reports that the grant would cover more than the ceiling does, which the next row lifts.
-func (pu *Purse) Give(now time.Duration, team string, tokens int64) (given int64, capped bool) {
-	pu.mu.Lock()
-	defer pu.mu.Unlock()
-	ac := pu.account(team)
-	excess := pu.excess(team)
-	taken := ac.used() + ac.waiting + ac.own.perSecond(now)*keepSeconds
-	given = max(0, min(tokens, ac.limit(now, excess)-taken))
-	if given > 0 {
-		ac.given += given
-		ac.demand.add(now, given)
-		ac.noteSize(given)
-	}
-	return given, given < tokens && taken+tokens-given <= ac.granted()-excess
-}
-
-// Lenders returns whom to ask for tokens of a team, most promising first, and how many to ask for; random spreads the askers.
-func (pu *Purse) Lenders(now time.Duration, team string, tokens int64, random func() float64) ([]string, int64) {
-	pu.mu.Lock()
-	defer pu.mu.Unlock()
-	var names []string
-	unused := map[string]float64{}
-	for instance, ho := range pu.rows[team] {
-		if instance == pu.config.Instance {
-			continue
-		}
-		names = append(names, instance)
-		// An instance comes first as often as its part of what is unused.
-		unused[instance] = random() * float64(max(1, ho.row.Granted-ho.row.Spent))
-	}
-	slices.Sort(names)
-	slices.SortStableFunc(names, func(aa, bb string) int { return cmp.Compare(unused[bb], unused[aa]) })
-	ac := pu.account(team)
-	short := max(tokens, ac.used()+tokens-ac.granted())
-	if !pu.isHome(team, now) {
-		return names, max(0, ac.used()+tokens-ac.granted())
-	}
-	return names, short + max(ac.waiting, ac.demand.perSecond(now)*borrowSeconds)
-}
-
-// Take adds tokens that a peer gave.
-func (pu *Purse) Take(team string, tokens int64) {
-	pu.mu.Lock()
-	defer pu.mu.Unlock()
-	ac := pu.account(team)
-	ac.taken += tokens
-	ac.notify()
-}
-
 // Close returns every unused grant with the next rows.
 func (pu *Purse) Close() {
 	pu.mu.Lock()
@@ -263,65 +204,6 @@
 	}
 }
 
-// Reset takes all that the topic holds.
-func (pu *Purse) Reset(now time.Duration, list []keyed.Record) {
-	pu.mu.Lock()
-	defer pu.mu.Unlock()
-	pu.rows = map[string]map[string]holding{}
-	pu.read(now, list)
-}
-
-// Changed takes records that were appended to the topic, in their order.
-func (pu *Purse) Changed(now time.Duration, list []keyed.Record) {
-	pu.mu.Lock()
-	defer pu.mu.Unlock()
-	pu.read(now, list)
-	pu.resolve()
-}
-
-func (pu *Purse) read(now time.Duration, list []keyed.Record) {
-	for _, re := range list {
-		team, instance, ok := splitKey(re.Key)
-		if !ok || len(re.Value) == 0 {
-			continue
-		}
-		var row Row
-		if err := record.Unmarshal(re.Value, &row); err != nil {
-			// The grant of an unreadable row is unknown, so the whole total counts as granted.
-			row = Row{Granted: pu.totals[team], Base: pu.totals[team]}
-		}
-		if pu.rows[team] == nil {
-			pu.rows[team] = map[string]holding{}
-		}
-		pu.rows[team][instance] = holding{row: row, seenAt: now}
-		if instance == pu.config.Instance {
-			pu.readOwn(now, team, row)
-		}
-	}
-}
-
-// resolve drops the pending rows: the offset at which they were to be appended is taken.
-func (pu *Purse) resolve() {
-	for _, ac := range pu.accounts {
-		ac.pending = nil
-	}
-}
-
-// readOwn takes the row that the topic holds of this life; one that was not pending any more is taken as built now, which allows least.
-func (pu *Purse) readOwn(now time.Duration, team string, row Row) {
-	ac := pu.account(team)
-	if row.Life != pu.config.Life || (ac.held != nil && ac.held.row == row) {
-		return
-	}
-	ac.held = &term{row: row, builtAt: now}
-	for _, te := range ac.pending {
-		if te.row == row {
-			ac.held = &te
-		}
-	}
-	ac.notify()
-}
-
 // excess returns what all grants of a team together exceed its total by, after the total was lowered.
 func (pu *Purse) excess(team string) int64 {
 	return max(0, pu.sumGranted(team)-pu.totals[team])
