Soak: overlapping restarts of one instance wait for each other

Cause: processes of earlier soaks were still running: two restarts of one instance overlapped, the second lost track of the first's process. Conclusion: the promises checked are the same.

--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -29,15 +29,17 @@
 
 // node is one instance of the program with its settings file.
 type node struct {
-	name    string
-	path    string
-	caller  string
-	ready   string
-	mu      sync.Mutex
-	process *os.Process
-	ended   chan struct{}
-	paused  bool
-	log     *os.File
+	name   string
+	path   string
+	caller string
+	ready  string
+	// restarting is held while the process is replaced, so that overlapping restarts leave none behind.
+	restarting sync.Mutex
+	mu         sync.Mutex
+	process    *os.Process
+	ended      chan struct{}
+	paused     bool
+	log        *os.File
 }
 
 // world is a store, endpoints and instances, and the proxies between them.
@@ -165,6 +167,8 @@
 
 // restart ends the instance by a signal and starts it again.
 func (wo *world) restart(no *node, sig syscall.Signal) {
+	no.restarting.Lock()
+	defer no.restarting.Unlock()
 	no.signal(syscall.SIGCONT)
 	no.signal(sig)
 	select {
