A borrower asks all holders of a team, and only them

Ruled out: exhausted totals; only team xany70 was near its end, and only from second 24 on. Change: for tokens up to four peers are asked, as many as hold grants of one team. Calls to the store through peers still try two.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -29,8 +29,10 @@
 	idleTimeout = 30 * time.Second
 	// restTime is how long a peer that did not answer is left alone.
 	restTime = 2 * time.Second
-	// maxPeersTried bounds the peers that one call goes to.
-	maxPeersTried = 2
+	// maxRelays bounds the peers that one call to the store goes through.
+	maxRelays = 2
+	// maxLenders bounds the peers that are asked for the tokens of one request: as many as hold grants of one team.
+	maxLenders = 4
 )
 
 // ErrAlone reports that no peer could be asked.
@@ -113,8 +115,8 @@
 	return slices.Sorted(maps.Keys(me.names))
 }
 
-// candidates returns the peers to ask, in the given order or else those of the own failure domain first.
-func (me *Mesh) candidates(first []string) []*peer {
+// candidates returns at most the given number of peers to ask, in the given order or else those of the own failure domain first.
+func (me *Mesh) candidates(first []string, most int) []*peer {
 	me.mu.Lock()
 	defer me.mu.Unlock()
 	now := me.config.Clock()
@@ -130,7 +132,7 @@
 		}
 		return strings.Compare(aa.member.Name, bb.member.Name)
 	})
-	return list[:min(len(list), maxPeersTried)]
+	return list[:min(len(list), most)]
 }
 
 func (me *Mesh) rank(pe *peer, first []string) int {
@@ -143,10 +145,10 @@
 	return len(first) + 1
 }
 
-// each calls peers in turn until one of them settles the matter.
-func (me *Mesh) each(ctx context.Context, first []string, wait time.Duration, call func(ctx context.Context, pe *peer) error) error {
+// each calls the peers in turn until one of them settles the matter.
+func (me *Mesh) each(ctx context.Context, list []*peer, wait time.Duration, call func(ctx context.Context, pe *peer) error) error {
 	last := ErrAlone
-	for _, pe := range me.candidates(first) {
+	for _, pe := range list {
 		cctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
 		err := call(cctx, pe)
 		cancel()
@@ -171,7 +173,7 @@
 // Borrow asks peers for tokens of a team, the named ones first, and returns what they gave.
 func (me *Mesh) Borrow(ctx context.Context, team string, tokens int64, first []string) int64 {
 	got := int64(0)
-	_ = me.each(ctx, first, 0, func(ctx context.Context, pe *peer) error {
+	_ = me.each(ctx, me.candidates(first, maxLenders), 0, func(ctx context.Context, pe *peer) error {
 		rs, err := pe.client.Give(ctx, &meshpb.GiveRequest{Team: team, Tokens: tokens - got})
 		if err != nil {
 			return err
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,76 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/clementineweir/clementineweir/pkg/keyed"
+)
+
+// stock is a peer that gives what it has.
+type stock struct {
+	left  int64
+	asked int
+}
+
+func (st *stock) Give(_ context.Context, _ string, tokens int64) int64 {
+	st.asked++
+	given := min(tokens, st.left)
+	st.left -= given
+	return given
+}
+
+// TestBorrow replays an outage of the store in which the first holders may give nothing under their ceilings: all holders of the team are
+// asked before the request is given up, and nobody else.
+func TestBorrow(tt *testing.T) {
+	type result struct {
+		Got   int64
+		Asked []int
+	}
+	cases := []struct {
+		name string
+		left []int64
+		want result
+	}{
+		{"the first holder has enough", []int64{500, 500, 500, 500, 500}, result{100, []int{1, 0, 0, 0, 0}}},
+		{"only the last holder may give", []int64{0, 0, 0, 100, 500}, result{100, []int{1, 1, 1, 1, 0}}},
+		{"each holder gives a part", []int64{10, 20, 30, 40, 500}, result{100, []int{1, 1, 1, 1, 0}}},
+		{"the holders together have too little", []int64{10, 0, 0, 0, 500}, result{10, []int{1, 1, 1, 1, 0}}},
+	}
+	for _, tc := range cases {
+		tt.Run(tc.name, func(tt *testing.T) {
+			me := New(Config{Self: Member{Name: "self"}, Clock: func() time.Duration { return time.Second }})
+			var holders []string
+			var stocks []*stock
+			for ix, left := range tc.left {
+				st := &stock{left: left}
+				se := httptest.NewServer(NewServer(ServerConfig{Giver: st}))
+				tt.Cleanup(se.Close)
+				name := fmt.Sprint("peer-", ix)
+				data, err := json.Marshal(Member{Name: name, Address: strings.TrimPrefix(se.URL, "http://")})
+				if err != nil {
+					tt.Fatal(err)
+				}
+				me.Read([]keyed.Record{{Key: memberPrefix + name, Value: data}})
+				stocks = append(stocks, st)
+				if ix < maxLenders {
+					holders = append(holders, name)
+				}
+			}
+			got := result{Got: me.Borrow(context.Background(), "team", 100, holders)}
+			for _, st := range stocks {
+				got.Asked = append(got.Asked, st.asked)
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				tt.Error(diff)
+			}
+		})
+	}
+}
--- a/internal/mesh/topic.go
+++ b/internal/mesh/topic.go
@@ -76,7 +76,7 @@
 
 func (to *topic) page(ctx context.Context, wait time.Duration, call func(ctx context.Context, pe *peer) (*meshpb.PageResponse, error)) (keyed.Page, error) {
 	var pg keyed.Page
-	err := to.mesh.each(ctx, nil, wait, func(ctx context.Context, pe *peer) error {
+	err := to.mesh.each(ctx, to.mesh.candidates(nil, maxRelays), wait, func(ctx context.Context, pe *peer) error {
 		rs, err := call(ctx, pe)
 		if err != nil {
 			return err
@@ -99,7 +99,7 @@
 		unclear = err
 	}
 	end := int64(0)
-	err := to.mesh.each(ctx, nil, 0, func(ctx context.Context, pe *peer) error {
+	err := to.mesh.each(ctx, to.mesh.candidates(nil, maxRelays), 0, func(ctx context.Context, pe *peer) error {
 		rs, err := pe.client.Append(ctx, &meshpb.AppendRequest{Topic: to.name, At: at, Records: encodeRecords(list)})
 		if err != nil {
 			if !settled(decodeError(err)) {
