A request that its home has no room for copies the shared parts of its prompt

Ruled out: too little memory (no request was put back, 508,000 tokens an endpoint for 3.4 million of all subjects). Change: the decision names the home as source where the chosen endpoint is expected to hold 256 tokens less than it; the adapter turns it into the platform's header. A home that failed or fell silent is no source.

--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -19,12 +19,19 @@
 	candidates int
 	expected   time.Duration
 	unread     int64
+	// copied is the number of prompt tokens that the endpoint was told to copy, from the endpoint named by source.
+	copied int64
+	source string
 }
 
 func (tr *trail) note(de place.Decision) {
 	tr.candidates = de.Candidates
 	tr.expected = de.First
 	tr.unread = de.Unread
+	tr.copied, tr.source = de.Copied, ""
+	if de.Source != nil {
+		tr.source = de.Source.ID
+	}
 }
 
 func (tr *trail) send(de place.Decision) { tr.endpoints = append(tr.endpoints, de.Endpoint.ID) }
@@ -113,6 +120,9 @@
 			"expected", seconds(tr.expected), "unread", tr.unread,
 			"registrationsAge", seconds(vi.gate.config.Roster.Age(now)))
 	}
+	if tr.copied > 0 {
+		args = append(args, "copied", tr.copied, "copiedFrom", tr.source)
+	}
 	if tr.first > 0 {
 		args = append(args, "first", seconds(tr.first-vi.begun))
 	}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -200,7 +200,7 @@
 	ex, err := cf.Pool.Do(ctx, de.Endpoint.Address, conns.Request{
 		Method: vi.request.Method, Target: vi.request.RequestURI, Host: vi.request.Host, Body: vi.body,
 		Header: cf.Protocol.Forward(vi.request.Header, Order{
-			Endpoint: de.Endpoint.ID, Team: vi.team, Left: vi.left(), LastEvent: fw.lastEvent,
+			Endpoint: de.Endpoint.ID, Team: vi.team, Left: vi.left(), LastEvent: fw.lastEvent, CopyFrom: de.CopyAddress(),
 		}),
 		Mine: vi.mine,
 	})
--- a/internal/gate/protocol.go
+++ b/internal/gate/protocol.go
@@ -27,6 +27,8 @@
 	Endpoint string
 	Team     string
 	Left     time.Duration
+	// CopyFrom is the address of an endpoint that holds parts of the prompt which this one should copy, or empty.
+	CopyFrom string
 	// LastEvent is the id after which a stream goes on, or zero.
 	LastEvent int64
 }
--- a/pkg/place/board.go
+++ b/pkg/place/board.go
@@ -78,6 +78,7 @@
 // pickFrom returns the endpoint with the least expected time; with anyCircuit, also those that recently failed.
 func (bo *Board) pickFrom(now time.Duration, se *plan.Service, list []*roster.Endpoint, rq Request, anyCircuit bool) Decision {
 	home := homeOf(list, rq)
+	source := bo.sourceOf(now, se, home, rq)
 	best := Decision{Candidates: len(list), Reason: "least expected time"}
 	least := time.Duration(0)
 	for _, en := range list {
@@ -85,14 +86,21 @@
 		if slices.Contains(rq.Tried, en.ID) || (!anyCircuit && !st.circuit.Allows(now)) {
 			continue
 		}
-		first, unread := st.expect(now, se, rq, en == home)
-		cost := first + time.Duration(st.recentFailures(now)*float64(failureTime)) + rereadTime(rq, unread)
+		hold := st.holding(rq, en == home)
+		var co copying
+		if en != home {
+			co = source.copying(se, hold)
+		}
+		unread := rq.Prompt - hold - co.tokens
+		first := st.expect(now, se, rq, unread) + co.time
+		cost := first + time.Duration(st.recentFailures(now)*float64(failureTime)) + rereadTime(rq, unread) + co.time
 		cost += silenceFactor * st.silence(now)
 		if en.Domain != rq.Domain {
 			cost += domainTime
 		}
 		if best.Endpoint == nil || cost < least {
 			best.Endpoint, best.First, best.Unread, least = en, first, unread, cost
+			best.Source, best.Copied = co.source, co.tokens
 		}
 	}
 	return best
@@ -107,16 +115,23 @@
 	return time.Duration((rereadFactor - 1) * float64(shared) / readRate * float64(time.Millisecond))
 }
 
-// expect returns the expected time to the first event, or to the answer of a plain service, and the unread prompt tokens.
-func (st *state) expect(now time.Duration, se *plan.Service, rq Request, home bool) (time.Duration, int64) {
-	load := st.running + st.others(now)
+// holding returns the prompt tokens that the endpoint is expected to hold.
+func (st *state) holding(rq Request, home bool) int64 {
 	if rq.Prompt == 0 {
-		return st.expectPlain(load), 0
+		return 0
 	}
-	unread := rq.Prompt - st.cache.held(rq.Parts)
+	hold := st.cache.held(rq.Parts)
 	if home && len(rq.Parts) > 1 {
-		shared := rq.Prompt - rq.Parts[len(rq.Parts)-1].Tokens
-		unread = min(unread, rq.Prompt-shared+int64(homeShare*float64(shared)))
+		hold = max(hold, int64((1-homeShare)*float64(rq.shared())))
+	}
+	return hold
+}
+
+// expect returns the expected time to the first event, or to the answer of a plain service.
+func (st *state) expect(now time.Duration, se *plan.Service, rq Request, unread int64) time.Duration {
+	load := st.running + st.others(now)
+	if rq.Prompt == 0 {
+		return st.expectPlain(load)
 	}
 	ahead := st.unread + int64(st.waiting(now))*waitingTokens
 	read := time.Duration(float64(unread+ahead) / readRate * float64(time.Millisecond))
@@ -125,7 +140,7 @@
 	if over := load + 1 - slotsOf(st, se); over > 0 {
 		first += time.Duration(over) * plainTime
 	}
-	return time.Duration(float64(first) * st.slowness), unread
+	return time.Duration(float64(first) * st.slowness)
 }
 
 func (st *state) expectPlain(load int) time.Duration {
@@ -150,7 +165,7 @@
 		return nil
 	}
 	subject := rq.Parts[len(rq.Parts)-2].ID
-	shared := rq.Prompt - rq.Parts[len(rq.Parts)-1].Tokens
+	shared := rq.shared()
 	var best *roster.Endpoint
 	var most uint64
 	for _, en := range list {
--- a/pkg/place/request.go
+++ b/pkg/place/request.go
@@ -27,6 +27,14 @@
 	Left time.Duration
 }
 
+// shared returns the prompt tokens in parts that other requests have, too.
+func (rq Request) shared() int64 {
+	if len(rq.Parts) < 2 {
+		return 0
+	}
+	return rq.Prompt - rq.Parts[len(rq.Parts)-1].Tokens
+}
+
 // Decision is the endpoint for a request; without one, Reason says why and RetryAfter when room is expected.
 type Decision struct {
 	Endpoint   *roster.Endpoint
@@ -34,12 +42,24 @@
 	RetryAfter time.Duration
 	// First is the expected time to the first event or the answer.
 	First time.Duration
-	// Unread is the number of prompt tokens that the endpoint is not expected to hold.
+	// Unread is the number of prompt tokens that the endpoint is not expected to hold, and does not copy either.
 	Unread int64
+	// Source is an endpoint from whose memory the chosen one should copy shared parts of the prompt, or nil.
+	Source *roster.Endpoint
+	// Copied is the number of prompt tokens that Source is expected to give.
+	Copied int64
 	// Candidates is the number of endpoints that were weighed.
 	Candidates int
 }
 
+// CopyAddress returns the address of the source, or an empty string.
+func (de Decision) CopyAddress() string {
+	if de.Source == nil {
+		return ""
+	}
+	return de.Source.Address
+}
+
 // Load is what an endpoint reports of itself.
 type Load struct {
 	Running int
--- /dev/null
+++ b/pkg/place/source.go
@@ -0,0 +1,53 @@
+package place
+
+import (
+	"time"
+
+	"github.com/clementineweir/clementineweir/pkg/plan"
+	"github.com/clementineweir/clementineweir/pkg/roster"
+)
+
+const (
+	// leastCopy is the number of tokens below which reading them again is as quick as a copy.
+	leastCopy = 256
+	// copyBase is the time that a copy takes however small it is: a connection between two endpoints.
+	copyBase = 3 * time.Millisecond
+	// maxSourceFailures is how much recent failure an endpoint may have as a source: a copy from one that is gone costs its whole timeout.
+	maxSourceFailures = 0.5
+)
+
+// source is an endpoint that is expected to hold the shared parts of a prompt.
+type source struct {
+	endpoint *roster.Endpoint
+	tokens   int64
+}
+
+// copying is a copy from one endpoint to another; the zero value copies nothing.
+type copying struct {
+	source *roster.Endpoint
+	tokens int64
+	time   time.Duration
+}
+
+// sourceOf returns the home of the request's shared parts if others may copy from it.
+//
+// It answers the load of one subject in demand: what its home has no room for runs elsewhere without reading the subject again.
+func (bo *Board) sourceOf(now time.Duration, se *plan.Service, home *roster.Endpoint, rq Request) source {
+	if home == nil || se.CopyRate <= 0 {
+		return source{}
+	}
+	st := bo.state(home, se)
+	if !st.circuit.Allows(now) || st.recentFailures(now) > maxSourceFailures || st.silence(now) > 0 {
+		return source{}
+	}
+	return source{endpoint: home, tokens: st.holding(rq, true)}
+}
+
+// copying returns what an endpoint that holds the given tokens copies from the source.
+func (so source) copying(se *plan.Service, hold int64) copying {
+	tokens := so.tokens - hold
+	if so.endpoint == nil || tokens < leastCopy {
+		return copying{}
+	}
+	return copying{source: so.endpoint, tokens: tokens, time: copyBase + time.Duration(tokens)*time.Second/time.Duration(se.CopyRate)}
+}
--- a/pkg/plan/types.go
+++ b/pkg/plan/types.go
@@ -48,6 +48,8 @@
 	// MemoryTokens is what running requests and cached prompts of one endpoint may take.
 	MemoryTokens int64
 	Slots        int
+	// CopyRate is how many prompt tokens a second one endpoint copies from another's memory; zero where endpoints do not copy.
+	CopyRate int64
 }
 
 // Team is a customer; Prepaid is the total of tokens that it may spend.
