A new life does not spend what its earlier life had returned

An instance that returns tokens borrowed from peers writes a row below nothing (grants of -13,454 and the like stand in the logs). Its next life takes that over as what earlier lives have used, below nothing, but until its own row is in the topic the limit was nothing: so it could spend what had been returned, and with a row on the way also what it had just borrowed and returned in that row. Change: without a row of this life the limit is what earlier lives have used, and pending rows bound it like any other.

--- a/pkg/purse/account.go
+++ b/pkg/purse/account.go
@@ -52,24 +52,23 @@
 
 // limit returns the bound on used; excess is what all grants together exceed the total by.
 func (ac *account) limit(now time.Duration, excess int64) int64 {
-	if ac.held == nil {
-		return 0
+	limit := ac.earlier
+	if ac.held != nil {
+		limit = ac.held.row.limit(now - ac.held.builtAt)
 	}
-	limit := ac.held.row.limit(now - ac.held.builtAt)
-	granted := ac.held.row.Granted
 	for _, te := range ac.pending {
 		limit = min(limit, te.row.limit(now-te.builtAt))
-		granted = min(granted, te.row.Granted)
 	}
-	return min(limit, granted-excess)
+	return min(limit, ac.granted()-excess)
 }
 
-// granted returns the smallest grant that may be in force.
+// granted returns the smallest grant that may be in force; without a row of this life it is what earlier lives have used, which leaves only
+// what peers gave to this life.
 func (ac *account) granted() int64 {
-	if ac.held == nil {
-		return 0
+	granted := ac.earlier
+	if ac.held != nil {
+		granted = ac.held.row.Granted
 	}
-	granted := ac.held.row.Granted
 	for _, te := range ac.pending {
 		granted = min(granted, te.row.Granted)
 	}
