--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -135,6 +135,9 @@
 	return time.Duration(at) - ed.config.Clock(), true
 }
 
+// StoreReachable reports whether grants can be renewed at the moment.
+func (ed *Edge) StoreReachable() bool { return ed.mesh.StoreReachable() }
+
 // Ready reports whether callers should be sent here: an instance that merely lost the store stays ready.
 func (ed *Edge) Ready() bool {
 	return !ed.Draining() && ed.Plan() != nil && ed.directory.loaded.Load()
--- a/internal/edge/lender.go
+++ b/internal/edge/lender.go
@@ -54,12 +54,12 @@
 	le.failedAt[team] = now
 }
 
-// Give returns how many tokens of the team were moved to a peer; where only the ceiling forbids it, the next row is waited for.
+// Give returns how many tokens of the team were moved to a peer; where only the ceiling forbids it, the next row is waited for, if there can be one.
 func (le *lender) Give(ctx context.Context, team string, tokens int64) int64 {
 	pu := le.edge.purses.Of(team)
 	clock := le.edge.config.Clock
 	given, capped := pu.Give(clock(), team, tokens)
-	if capped {
+	if capped && le.edge.StoreReachable() {
 		changed := pu.Await(clock(), team, tokens-given)
 		le.await(ctx, changed)
 		pu.Leave(team, tokens-given)
--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -12,6 +12,10 @@
 	reserveWaitShare = 0.4
 	// capWait is how long a request waits for a new row before peers are asked: several round trips to the store.
 	capWait = 60 * time.Millisecond
+	// borrowInterval is the pause between two attempts for one request: ceilings rise and other requests end meanwhile.
+	borrowInterval = 80 * time.Millisecond
+	// outageRetry is when a caller should return while grants cannot be divided anew; outages of the store take seconds.
+	outageRetry = 3 * time.Second
 	// maxBorrows is how often other instances are asked for the tokens of one request.
 	maxBorrows = 3
 	// lackingRetry is when a caller should return if this instance has too few tokens; grants are divided anew about once a second.
@@ -27,7 +31,7 @@
 	}
 	tokens := vi.call.Prompt + vi.call.Output
 	pu := vi.gate.config.Purses.Of(vi.team)
-	ends := vi.now() + time.Duration(reserveWaitShare*float64(vi.route.Target))
+	ends := min(vi.ends, vi.now()+time.Duration(reserveWaitShare*float64(vi.route.Target)))
 	capped := false
 	for {
 		short := pu.Reserve(vi.now(), vi.team, tokens)
@@ -40,20 +44,28 @@
 		case purse.Stranded:
 			return fault.New(fault.Unavailable, fault.NotRun, "what is surely left of the prepaid total does not cover the request").WithRetryAfter(strandedRetry)
 		case purse.Capped, purse.Lacking:
-			if short == purse.Capped && !capped {
-				// The next row takes some milliseconds; only without the store does it take longer.
-				capped = true
-				vi.awaitTokens(tokens, min(vi.now()+capWait, vi.ends))
-				continue
-			}
-			if vi.borrow(tokens) {
-				continue
-			}
-			if !vi.awaitTokens(tokens, min(ends, vi.ends)) {
-				return fault.New(fault.Unavailable, fault.NotRun, "this instance holds too few of the team's tokens").WithRetryAfter(lackingRetry)
-			}
 		}
+		switch {
+		case short == purse.Capped && !capped && vi.gate.config.Beliefs.StoreReachable():
+			// The next row takes some milliseconds.
+			capped = true
+			vi.awaitTokens(tokens, min(vi.now()+capWait, vi.ends))
+		case vi.borrow(tokens):
+		case vi.now() >= ends || vi.request.Context().Err() != nil:
+			return vi.lacking()
+		default:
+			vi.awaitTokens(tokens, min(ends, vi.now()+borrowInterval))
+		}
+	}
+}
+
+// lacking says that the team has tokens left which this instance cannot get at.
+func (vi *visit) lacking() error {
+	retry := lackingRetry
+	if !vi.gate.config.Beliefs.StoreReachable() {
+		retry = outageRetry
 	}
+	return fault.New(fault.Unavailable, fault.NotRun, "this instance holds too few of the team's tokens").WithRetryAfter(retry)
 }
 
 // borrow asks the other instances for tokens, a few times for each request: what came in may go to another one first.
@@ -65,12 +77,12 @@
 	return vi.gate.config.Lender.Borrow(vi.request.Context(), vi.team, tokens)
 }
 
-// awaitTokens waits for a change of the team's grant; it reports false when the time is over or the caller left.
-func (vi *visit) awaitTokens(tokens int64, ends time.Duration) bool {
+// awaitTokens waits for a change of the team's grant, the given time or the caller's leaving, whichever comes first.
+func (vi *visit) awaitTokens(tokens int64, ends time.Duration) {
 	pu := vi.gate.config.Purses.Of(vi.team)
 	wait := ends - vi.now()
 	if wait <= 0 {
-		return false
+		return
 	}
 	changed := pu.Await(vi.now(), vi.team, tokens)
 	defer pu.Leave(vi.team, tokens)
@@ -78,11 +90,8 @@
 	defer ti.Stop()
 	select {
 	case <-changed:
-		return true
 	case <-ti.C:
-		return false
 	case <-vi.request.Context().Done():
-		return false
 	}
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -39,6 +39,8 @@
 	Plan() *plan.Plan
 	// Draining reports whether the instance is shutting down.
 	Draining() bool
+	// StoreReachable reports whether the grants of this instance can be renewed at the moment.
+	StoreReachable() bool
 	// Remaining returns how long the instance will still serve, and false while no end is known.
 	Remaining() (time.Duration, bool)
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -108,6 +108,9 @@
 	}
 }
 
+// StoreReachable reports whether the store answered this instance itself at the last call.
+func (me *Mesh) StoreReachable() bool { return me.failedAt.Load() == 0 }
+
 // Members returns the names of all instances that have announced themselves, this one included, in ascending order.
 func (me *Mesh) Members() []string {
 	me.mu.Lock()
--- a/internal/mesh/topic.go
+++ b/internal/mesh/topic.go
@@ -37,7 +37,7 @@
 }
 
 // Direct returns the store's own topic, or false while the store cannot be reached from here.
-func (to *topic) Direct() (keyed.Topic, bool) { return to.direct, to.mesh.failedAt.Load() == 0 }
+func (to *topic) Direct() (keyed.Topic, bool) { return to.direct, to.mesh.StoreReachable() }
 
 func (to *topic) note(err error) {
 	if err == nil || settled(err) {
--- a/pkg/purse/build.go
+++ b/pkg/purse/build.go
@@ -12,7 +12,7 @@
 	// ceilingDelay is the time without a new row after which a ceiling rises; a process that was killed is back by then.
 	ceilingDelay = 2600 * time.Millisecond
 	// ratePercent is the rise of a ceiling against the present demand.
-	ratePercent = 125
+	ratePercent = 350
 	// burstDelay is the time without a new row after which a ceiling rises faster: a machine that lost power is back by then, so the store
 	// is away, and a burst must be served.
 	burstDelay = 5 * time.Second
@@ -21,7 +21,9 @@
 	// slackPercent is what a ceiling leaves for the demand before it rises.
 	slackPercent = 120
 	// riskPercent bounds what the loss of all instances may cost a team: this part of what is left of its total.
-	riskPercent = 6
+	riskPercent = 10
+	// mostPercent is the part of an unused grant that a ceiling reaches at most: what instances that are away for long leave to the team.
+	mostPercent = 60
 	// typicalRequests is how many requests of the usual size a ceiling leaves room for beside the demand.
 	typicalRequests = 2
 	// keepSeconds is the demand in seconds that an instance does not give away.
@@ -39,9 +41,9 @@
 	// youngShare is the least number of holders that a young instance assumes.
 	youngShare = 8
 	// tolerance is the part of an entitlement by which a grant may differ without a new row.
-	tolerance = 16
+	tolerance = 12
 	// idleDivisor gives a team without demand a ceiling: this part of the grant, and as much a second.
-	idleDivisor = 30
+	idleDivisor = 20
 	percent     = 100
 	// spreadPercent is the part of what is left that is granted ahead of need; the rest answers sudden needs.
 	spreadPercent = 97
@@ -112,7 +114,7 @@
 	stamp := pu.stamp()
 	for team := range pu.totals {
 		ac := pu.account(team)
-		if ac.held == nil || pu.due(ac, pu.nextRow(ac, now, stamp), now) {
+		if pu.due(ac, pu.nextRow(ac, now, stamp), now) {
 			return true
 		}
 	}
@@ -159,9 +161,12 @@
 	// A grant is the instance's part of what is left, so the bound on the risk is a part of the grant.
 	slack = min(slack, max(0, granted-ac.used())*riskPercent/percent) + ac.waiting
 	slack = max(slack, max(0, granted-ac.used())/idleDivisor)
+	free := max(0, granted-ac.used())
 	return Row{
+		Most:    ac.used() + max(slack, free*mostPercent/percent),
 		Granted: granted, Base: ac.used() + slack, Rate: rate, Delay: ceilingDelay, Spent: ac.allSpent(), Lost: ac.lost, Demand: demand,
 		Burst: demand * burstPercent / percent, BurstDelay: burstDelay, Need: ac.waiting, Wall: stamp.Wall.UnixMilli(), Boot: stamp.Boot.Milliseconds(), Life: pu.config.Life,
+		Own: ac.own.perSecond(now), Moved: ac.given - ac.taken,
 	}
 }
 
--- a/pkg/purse/lend.go
+++ b/pkg/purse/lend.go
@@ -38,10 +38,13 @@
 			continue
 		}
 		names = append(names, instance)
-		// An instance comes first as often as its part of what is unused.
-		unused[instance] = random() * float64(max(1, ho.row.Granted-ho.row.Spent))
+		unused[instance] = float64(max(1, ho.row.Granted-ho.row.Spent-ho.row.Moved))
 	}
 	slices.Sort(names)
+	for _, name := range names {
+		// An instance comes first as often as its part of what is unused.
+		unused[name] *= random()
+	}
 	slices.SortStableFunc(names, func(aa, bb string) int { return cmp.Compare(unused[bb], unused[aa]) })
 	ac := pu.account(team)
 	short := max(tokens, ac.used()+tokens-ac.granted())
--- a/pkg/purse/purse.go
+++ b/pkg/purse/purse.go
@@ -94,7 +94,7 @@
 	switch {
 	case left < tokens:
 		return Exhausted
-	case left-lost < tokens:
+	case left-lost < tokens, left-pu.moved(team) < tokens:
 		return Stranded
 	case ac.used()+tokens <= ac.granted()-pu.excess(team):
 		return Capped
@@ -231,6 +231,18 @@
 	return left, lost
 }
 
+// moved returns what instances with rows have given to peers without rows, which have used most of it.
+func (pu *Purse) moved(team string) int64 {
+	ac := pu.account(team)
+	sum := ac.given - ac.taken
+	for instance, ho := range pu.rows[team] {
+		if instance != pu.config.Instance {
+			sum += ho.row.Moved
+		}
+	}
+	return max(0, sum)
+}
+
 func (pu *Purse) account(team string) *account {
 	ac, ok := pu.accounts[team]
 	if !ok {
--- a/pkg/purse/row.go
+++ b/pkg/purse/row.go
@@ -36,13 +36,23 @@
 	// Burst is what the ceiling rises by in addition after BurstDelay, in tokens a second.
 	Burst      int64         `cbor:"12,keyasint"`
 	BurstDelay time.Duration `cbor:"13,keyasint"`
+	// Own is the part of Demand that the writer spends itself, in tokens a second; the rest it gives to peers.
+	Own int64 `cbor:"14,keyasint"`
+	// Moved is what the writer gave to peers less what it took from them; it is used, but not spent here.
+	Moved int64 `cbor:"15,keyasint"`
+	// Most bounds the ceiling however much time has passed; zero where nothing does.
+	Most int64 `cbor:"16,keyasint"`
 }
 
 // ceiling returns what the writer of the row has spent and reserved at most, the given time after it was built.
 func (ro Row) ceiling(elapsed time.Duration) int64 {
 	first := record.Ceiling{Base: ro.Base, TokensPerSecond: ro.Rate, Delay: ro.Delay}
 	later := record.Ceiling{TokensPerSecond: ro.Burst, Delay: ro.BurstDelay}
-	return first.At(elapsed) + later.At(elapsed)
+	reached := first.At(elapsed) + later.At(elapsed)
+	if ro.Most > 0 {
+		reached = min(reached, ro.Most)
+	}
+	return reached
 }
 
 // limit returns what may be spent and reserved under the row.
