--- a/internal/cmds/dev.go
+++ b/internal/cmds/dev.go
@@ -39,6 +39,7 @@
 		Usage: "run instances and stand-ins for everything else in one process",
 		Flags: append(deploymentFlags(),
 			&cli.IntFlag{Name: "instances", Usage: "number of instances", Value: defaultInstances},
+			&cli.BoolFlag{Name: "routed", Usage: "run instances for routed services, on stand-ins of the users' platform"},
 			&cli.BoolFlag{Name: "verbose", Usage: "log every answered request"},
 		),
 		Action: func(ctx context.Context, cm *cli.Command) error {
@@ -50,6 +51,9 @@
 			if pl.instances < 1 || pl.instances > maxInstances {
 				return fail(ExitUsage, "--instances must be between 1 and %d", maxInstances)
 			}
+			if cm.Bool("routed") {
+				return runRoutedDev(ctx, cm, pl)
+			}
 			return runDev(ctx, cm, pl)
 		},
 	}
--- a/internal/cmds/edge.go
+++ b/internal/cmds/edge.go
@@ -54,9 +54,21 @@
 		defer close(written)
 		sink.Run(lctx)
 	}()
+	ed := newEdge(se, sink, func() (config.Edge, error) { return config.LoadEdge(path) })
+	err := ed.Run(ctx)
+	stop()
+	<-written
+	if err != nil {
+		return fail(ExitFailed, "the instance %s stopped: %s", se.Name, err)
+	}
+	return nil
+}
+
+// newEdge returns an instance on the platform's protocol; reload is nil where the settings never change.
+func newEdge(se config.Edge, sink *logs.Sink, reload func() (config.Edge, error)) *edge.Edge {
 	begun := time.Now()
 	cl := store.NewClient(se.StoreAddress)
-	ed := edge.New(edge.Config{
+	return edge.New(edge.Config{
 		Settings: se,
 		Platform: edge.Platform{
 			Topic: cl.Topic, Configuration: wire.OperatorTopic, ConfigurationKey: wire.ConfigurationKey,
@@ -65,14 +77,6 @@
 		},
 		Clock:  func() time.Duration { return time.Since(begun) + 1 },
 		Stamp:  func() purse.Stamp { return purse.Stamp{Wall: time.Now(), Boot: daemon.BootTime()} },
-		Reload: func() (config.Edge, error) { return config.LoadEdge(path) },
-		Logger: sink.Logger(), Dropped: sink.Dropped,
+		Reload: reload, Logger: sink.Logger(), Dropped: sink.Dropped,
 	})
-	err := ed.Run(ctx)
-	stop()
-	<-written
-	if err != nil {
-		return fail(ExitFailed, "the instance %s stopped: %s", se.Name, err)
-	}
-	return nil
 }
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -33,7 +33,7 @@
 
 // fleet is a store, endpoints and instances on the loopback interface.
 type fleet struct {
-	tt        *testing.T
+	tt        testing.TB
 	store     *stand.Store
 	storeURL  string
 	models    []*stand.Endpoint
@@ -69,7 +69,7 @@
 	}.Encode()
 }
 
-func newFleet(tt *testing.T, fc fleetConfig) *fleet {
+func newFleet(tt testing.TB, fc fleetConfig) *fleet {
 	fl := &fleet{tt: tt, store: stand.NewStore(), addresses: map[string]string{}}
 	fl.storeURL = fl.listen(fl.store)
 	for ix := range 3 {
--- /dev/null
+++ b/internal/edge/overhead_test.go
@@ -0,0 +1,52 @@
+package edge_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/clementineweir/clementineweir/platform/stand"
+)
+
+// BenchmarkOverhead compares one request through an instance with one straight to an endpoint, in the same run: what the instance adds is
+// the difference. All of them run in this process, so the allocations are those of caller, instance and endpoint together.
+func BenchmarkOverhead(bb *testing.B) {
+	fl := newFleet(bb, fleetConfig{instances: 1, prepaid: plenty})
+	routed := fl.instances[0].settings.CallerAddress
+	cases := []struct {
+		name    string
+		address string
+		route   string
+		call    stand.Call
+	}{
+		{"whole/direct", fl.addresses["plain-0"], "unsafe", stand.Call{Key: testKey, PatienceMs: 12_000}},
+		{"whole/routed", routed, "unsafe", stand.Call{Key: testKey, PatienceMs: 12_000}},
+		{"stream/direct", fl.addresses["model-0"], "stream", stand.Call{Key: testKey, PatienceMs: 12_000, Prompt: 100, Output: testEvents * testStride}},
+		{"stream/routed", routed, "stream", stand.Call{Key: testKey, PatienceMs: 12_000, Prompt: 100, Output: testEvents * testStride}},
+	}
+	for _, tc := range cases {
+		bb.Run(tc.name, func(bb *testing.B) {
+			bb.ReportAllocs()
+			number := 0
+			for bb.Loop() {
+				number++
+				tc.call.ID = fmt.Sprint("request-", number)
+				rq, err := http.NewRequest(http.MethodPost, "http://"+tc.address+"/"+tc.route+"/x", http.NoBody)
+				if err != nil {
+					bb.Fatal(err)
+				}
+				rq.Host = testHost
+				tc.call.Set(rq.Header)
+				rs, err := http.DefaultTransport.RoundTrip(rq)
+				if err != nil {
+					bb.Fatal(err)
+				}
+				if _, err := io.Copy(io.Discard, rs.Body); err != nil || rs.StatusCode != http.StatusOK {
+					bb.Fatalf("status %d, %v", rs.StatusCode, err)
+				}
+				_ = rs.Body.Close()
+			}
+		})
+	}
+}
