Surplus goes back to the holders, and instances that stop in an outage leave nothing behind

A borrower keeps what its last request left over; 27 borrowers of a team of a million tokens together keep some 2 in 100 of it. And an instance that is told to stop while the store is away cannot return its grant: its next life writes off what the ceiling allowed. Ruled out: smaller reservations (a request may use all that it asks for). Change: both are moved to another holder by one call; they count as given before the call, so they are lost, not doubled, if it fails. The property test returns surplus and closes instances, too.

--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -45,6 +45,7 @@
 func (gr *grants) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		delay := gr.step(ctx)
+		gr.edge.lender.returnSurplus(ctx, gr.purse)
 		gr.edge.allowance.SetInstances(gr.edge.purses.Instances(gr.edge.config.Clock()) + 1)
 		gr.await(ctx, delay)
 	}
--- a/internal/edge/lender.go
+++ b/internal/edge/lender.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/clementineweir/clementineweir/pkg/purse"
 )
 
 // borrowPause is how long peers are not asked for tokens of a team after they gave less than was asked for.
@@ -81,3 +83,22 @@
 	case <-ctx.Done():
 	}
 }
+
+// Returned takes tokens back that a peer had borrowed.
+func (le *lender) Returned(team string, tokens int64) {
+	le.edge.purses.Of(team).Take(team, tokens)
+	le.edge.config.Logger.Info("tokens returned", "team", team, "tokens", tokens)
+}
+
+// returnSurplus sends what other holders can use better to them.
+func (le *lender) returnSurplus(ctx context.Context, pu *purse.Purse) {
+	lo := le.edge.config.Logger
+	for _, su := range pu.Surpluses(le.edge.config.Clock(), !le.edge.StoreReachable(), le.edge.mesh.Resting) {
+		if err := le.edge.mesh.Return(ctx, su.Holder, su.Team, su.Tokens); err != nil {
+			// The peer may have taken them, so they are not taken back.
+			lo.Info("tokens lost on the way", "team", su.Team, "tokens", su.Tokens, "holder", su.Holder, "reason", err.Error())
+			continue
+		}
+		lo.Info("tokens sent", "team", su.Team, "tokens", su.Tokens, "holder", su.Holder)
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -197,5 +197,30 @@
 	return got
 }
 
+// Return moves tokens to a peer by one call; after an error they may have arrived or not.
+func (me *Mesh) Return(ctx context.Context, peer, team string, tokens int64) error {
+	me.mu.Lock()
+	pe, ok := me.peers[peer]
+	me.mu.Unlock()
+	if !ok {
+		return ErrAlone
+	}
+	cctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := pe.client.Return(cctx, &meshpb.ReturnRequest{Team: team, Tokens: tokens})
+	if !answered(err) {
+		me.rest(pe)
+	}
+	return err
+}
+
+// Resting reports whether a peer did not answer lately, or is unknown.
+func (me *Mesh) Resting(peer string) bool {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	pe, ok := me.peers[peer]
+	return !ok || me.config.Clock() < pe.restUntil
+}
+
 // errMore asks the next peer, too.
 var errMore = eris.New("the peer gave less than was asked for")
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -27,6 +27,8 @@
 	return given
 }
 
+func (st *stock) Returned(_ string, tokens int64) { st.left += tokens }
+
 // TestBorrow replays an outage of the store in which the first holders may give nothing under their ceilings: all holders of the team are
 // asked before the request is given up, and nobody else.
 func TestBorrow(tt *testing.T) {
@@ -74,3 +76,25 @@
 		})
 	}
 }
+
+// TestReturn sends tokens back to one peer, and to one that is not known.
+func TestReturn(tt *testing.T) {
+	st := &stock{left: 5}
+	se := httptest.NewServer(NewServer(ServerConfig{Giver: st}))
+	tt.Cleanup(se.Close)
+	me := New(Config{Self: Member{Name: "self"}, Clock: func() time.Duration { return time.Second }})
+	data, err := json.Marshal(Member{Name: "peer", Address: strings.TrimPrefix(se.URL, "http://")})
+	if err != nil {
+		tt.Fatal(err)
+	}
+	me.Read([]keyed.Record{{Key: memberPrefix + "peer", Value: data}})
+	if err := me.Return(context.Background(), "peer", "team", 30); err != nil {
+		tt.Fatal(err)
+	}
+	if err := me.Return(context.Background(), "stranger", "team", 30); err == nil {
+		tt.Error("a peer that is not known has taken tokens")
+	}
+	if diff := cmp.Diff(int64(35), st.left); diff != "" {
+		tt.Error(diff)
+	}
+}
--- a/internal/mesh/meshpb/mesh.twirp.go
+++ b/internal/mesh/meshpb/mesh.twirp.go
@@ -44,6 +44,9 @@
 
 	// Give moves unused tokens of a team to the caller.
 	Give(context.Context, *GiveRequest) (*GiveResponse, error)
+
+	// Return moves tokens that the caller had borrowed to this instance.
+	Return(context.Context, *ReturnRequest) (*ReturnResponse, error)
 }
 
 // ====================
@@ -52,7 +55,7 @@
 
 type meshProtobufClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [5]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -80,11 +83,12 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "clementineweir.mesh", "Mesh")
-	urls := [4]string{
+	urls := [5]string{
 		serviceURL + "Newest",
 		serviceURL + "Read",
 		serviceURL + "Append",
 		serviceURL + "Give",
+		serviceURL + "Return",
 	}
 
 	return &meshProtobufClient{
@@ -279,13 +283,59 @@
 	return out, nil
 }
 
+func (c *meshProtobufClient) Return(ctx context.Context, in *ReturnRequest) (*ReturnResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "clementineweir.mesh")
+	ctx = ctxsetters.WithServiceName(ctx, "Mesh")
+	ctx = ctxsetters.WithMethodName(ctx, "Return")
+	caller := c.callReturn
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReturnRequest) (*ReturnResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReturnRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReturnRequest) when calling interceptor")
+					}
+					return c.callReturn(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReturnResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReturnResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *meshProtobufClient) callReturn(ctx context.Context, in *ReturnRequest) (*ReturnResponse, error) {
+	out := new(ReturnResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Mesh JSON Client
 // ================
 
 type meshJSONClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [5]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -313,11 +363,12 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "clementineweir.mesh", "Mesh")
-	urls := [4]string{
+	urls := [5]string{
 		serviceURL + "Newest",
 		serviceURL + "Read",
 		serviceURL + "Append",
 		serviceURL + "Give",
+		serviceURL + "Return",
 	}
 
 	return &meshJSONClient{
@@ -512,6 +563,52 @@
 	return out, nil
 }
 
+func (c *meshJSONClient) Return(ctx context.Context, in *ReturnRequest) (*ReturnResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "clementineweir.mesh")
+	ctx = ctxsetters.WithServiceName(ctx, "Mesh")
+	ctx = ctxsetters.WithMethodName(ctx, "Return")
+	caller := c.callReturn
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReturnRequest) (*ReturnResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReturnRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReturnRequest) when calling interceptor")
+					}
+					return c.callReturn(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReturnResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReturnResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *meshJSONClient) callReturn(ctx context.Context, in *ReturnRequest) (*ReturnResponse, error) {
+	out := new(ReturnResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Mesh Server Handler
 // ===================
@@ -621,6 +718,9 @@
 	case "Give":
 		s.serveGive(ctx, resp, req)
 		return
+	case "Return":
+		s.serveReturn(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1348,6 +1448,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *meshServer) serveReturn(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveReturnJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveReturnProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *meshServer) serveReturnJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Return")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ReturnRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Mesh.Return
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReturnRequest) (*ReturnResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReturnRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReturnRequest) when calling interceptor")
+					}
+					return s.Mesh.Return(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReturnResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReturnResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReturnResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReturnResponse and nil error while calling Return. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *meshServer) serveReturnProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Return")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ReturnRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Mesh.Return
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReturnRequest) (*ReturnResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReturnRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReturnRequest) when calling interceptor")
+					}
+					return s.Mesh.Return(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReturnResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReturnResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReturnResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReturnResponse and nil error while calling Return. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *meshServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1929,31 +2209,33 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 408 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x93, 0xcf, 0x8e, 0xd3, 0x30,
-	0x10, 0xc6, 0x95, 0x3f, 0x64, 0xc5, 0xb4, 0xbb, 0x5a, 0x19, 0x04, 0xd1, 0x72, 0x20, 0x18, 0x81,
-	0x7a, 0x4a, 0x51, 0x11, 0x07, 0x0e, 0x08, 0xc1, 0x85, 0x03, 0x2a, 0x14, 0xdf, 0xe0, 0x82, 0xdc,
-	0x74, 0x68, 0xa3, 0x26, 0x76, 0x88, 0xdd, 0x16, 0xde, 0x8f, 0x07, 0x43, 0x76, 0x12, 0x9a, 0xa0,
-	0xa4, 0xdb, 0x4b, 0x3b, 0x93, 0x7c, 0xe3, 0xf9, 0xcd, 0x7c, 0x31, 0x3c, 0x4e, 0x85, 0xc6, 0x52,
-	0xf0, 0x6c, 0x9a, 0xa3, 0xda, 0xd8, 0x9f, 0x62, 0x69, 0xff, 0xe2, 0xa2, 0x94, 0x5a, 0x92, 0x7b,
-	0x49, 0x86, 0x39, 0x0a, 0x9d, 0x0a, 0x3c, 0x60, 0x5a, 0xc6, 0xe6, 0x15, 0x7d, 0x01, 0x01, 0xc3,
-	0x44, 0x96, 0x2b, 0x72, 0x0d, 0xde, 0x16, 0x7f, 0x87, 0x4e, 0xe4, 0x4c, 0xee, 0x32, 0x13, 0x92,
-	0xfb, 0x70, 0x67, 0xcf, 0xb3, 0x1d, 0x86, 0x6e, 0xe4, 0x4c, 0xc6, 0xac, 0x4a, 0xe8, 0x33, 0xb8,
-	0xfc, 0x84, 0x07, 0x54, 0x9a, 0xe1, 0xcf, 0x1d, 0x2a, 0x6d, 0x64, 0x5a, 0x16, 0x69, 0x52, 0x97,
-	0x56, 0x09, 0x5d, 0xc0, 0x88, 0x21, 0x5f, 0x9d, 0x14, 0x11, 0x02, 0xfe, 0x8f, 0x52, 0xe6, 0xb6,
-	0x81, 0xc7, 0x6c, 0x4c, 0x1e, 0xc2, 0xc5, 0x81, 0xa7, 0xfa, 0x7b, 0xae, 0x42, 0xcf, 0x3e, 0x0e,
-	0x4c, 0x3a, 0x57, 0xf4, 0x2b, 0x8c, 0x17, 0x7c, 0x8d, 0x0c, 0x55, 0x21, 0x85, 0x42, 0xf2, 0x0a,
-	0x2e, 0x4a, 0x8b, 0xae, 0x42, 0x27, 0xf2, 0x26, 0xa3, 0xd9, 0xa3, 0xb8, 0x67, 0xc2, 0xb8, 0x1a,
-	0x8f, 0x35, 0x5a, 0xd3, 0x53, 0xe0, 0x2f, 0xdd, 0xf4, 0x34, 0x31, 0xcd, 0xe0, 0xf2, 0x5d, 0x51,
-	0xa0, 0xb8, 0x05, 0xf7, 0x0a, 0x5c, 0xde, 0x14, 0xba, 0x5c, 0xb7, 0x09, 0xbc, 0xf3, 0x09, 0x28,
-	0x85, 0xab, 0xa6, 0x5b, 0x3d, 0xca, 0x35, 0x78, 0x28, 0x56, 0xb6, 0x99, 0xc7, 0x4c, 0x48, 0x5f,
-	0xc3, 0xe8, 0x43, 0xba, 0xc7, 0x86, 0x87, 0x80, 0xaf, 0x91, 0xe7, 0x35, 0x8e, 0x8d, 0xc9, 0x03,
-	0x08, 0xb4, 0xdc, 0xa2, 0x50, 0x35, 0x51, 0x9d, 0xd1, 0xe7, 0x30, 0xae, 0x4a, 0xeb, 0xc3, 0x8f,
-	0x3a, 0xa7, 0xad, 0x9b, 0xfd, 0x71, 0xc1, 0x9f, 0xa3, 0xda, 0x90, 0xcf, 0x10, 0x54, 0x8e, 0x12,
-	0xda, 0xcb, 0xdf, 0xb1, 0xfb, 0xe6, 0x49, 0xaf, 0xa6, 0xe3, 0xcc, 0x47, 0xf0, 0x8d, 0xf7, 0x24,
-	0x1a, 0x58, 0xc7, 0xbf, 0xcf, 0xe2, 0x9c, 0xc3, 0xbe, 0x40, 0x50, 0x6d, 0x6b, 0x80, 0xae, 0x63,
-	0xdc, 0xcd, 0xd3, 0x93, 0x9a, 0x23, 0x9f, 0xd9, 0xd0, 0x00, 0x5f, 0x6b, 0xef, 0x03, 0x7c, 0xed,
-	0xf5, 0xbe, 0x7f, 0xfb, 0xed, 0xcd, 0x3a, 0xd5, 0x9b, 0xdd, 0x32, 0x4e, 0x64, 0x3e, 0xed, 0xca,
-	0xff, 0x4f, 0xfb, 0xae, 0xe8, 0x32, 0xb0, 0xd7, 0xf3, 0xe5, 0xdf, 0x00, 0x00, 0x00, 0xff, 0xff,
-	0xd3, 0xd1, 0xee, 0x45, 0xc1, 0x03, 0x00, 0x00,
+	// 440 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x94, 0xcf, 0x6e, 0xd4, 0x30,
+	0x10, 0xc6, 0x95, 0x75, 0x48, 0xc5, 0xec, 0x1f, 0xad, 0x0c, 0x82, 0xa8, 0x1c, 0x08, 0x46, 0xa0,
+	0x3d, 0xa5, 0xa8, 0x88, 0x03, 0x42, 0x08, 0xc1, 0x85, 0x03, 0x2a, 0xb4, 0xbe, 0xc1, 0x05, 0x79,
+	0xb3, 0x43, 0x37, 0x6a, 0x62, 0x87, 0xd8, 0xe9, 0xc2, 0x93, 0xf0, 0xba, 0xc8, 0x4e, 0x42, 0x6b,
+	0x94, 0x94, 0x15, 0x97, 0xdd, 0x99, 0xdd, 0x6f, 0xf2, 0xfd, 0x3c, 0x33, 0x31, 0x3c, 0xcc, 0xa5,
+	0xc1, 0x5a, 0x8a, 0xe2, 0xa8, 0x44, 0xbd, 0x75, 0x1f, 0xd5, 0xda, 0x7d, 0xa5, 0x55, 0xad, 0x8c,
+	0xa2, 0x77, 0xb2, 0x02, 0x4b, 0x94, 0x26, 0x97, 0xb8, 0xc3, 0xbc, 0x4e, 0xed, 0x5f, 0xec, 0x19,
+	0x44, 0x1c, 0x33, 0x55, 0x6f, 0xe8, 0x12, 0xc8, 0x05, 0xfe, 0x8c, 0x83, 0x24, 0x58, 0xdd, 0xe6,
+	0x36, 0xa4, 0x77, 0xe1, 0xd6, 0xa5, 0x28, 0x1a, 0x8c, 0x27, 0x49, 0xb0, 0x9a, 0xf1, 0x36, 0x61,
+	0x4f, 0x60, 0xfe, 0x11, 0x77, 0xa8, 0x0d, 0xc7, 0xef, 0x0d, 0x6a, 0x63, 0x65, 0x46, 0x55, 0x79,
+	0xd6, 0x95, 0xb6, 0x09, 0x3b, 0x85, 0x29, 0x47, 0xb1, 0xb9, 0x51, 0x44, 0x29, 0x84, 0xdf, 0x6a,
+	0x55, 0x3a, 0x03, 0xc2, 0x5d, 0x4c, 0xef, 0xc3, 0xc1, 0x4e, 0xe4, 0xe6, 0x6b, 0xa9, 0x63, 0xe2,
+	0x7e, 0x8e, 0x6c, 0x7a, 0xa2, 0xd9, 0x67, 0x98, 0x9d, 0x8a, 0x73, 0xe4, 0xa8, 0x2b, 0x25, 0x35,
+	0xd2, 0x17, 0x70, 0x50, 0x3b, 0x74, 0x1d, 0x07, 0x09, 0x59, 0x4d, 0x8f, 0x1f, 0xa4, 0x03, 0x27,
+	0x4c, 0xdb, 0xe3, 0xf1, 0x5e, 0x6b, 0x3d, 0x25, 0xfe, 0x30, 0xbd, 0xa7, 0x8d, 0x59, 0x01, 0xf3,
+	0xb7, 0x55, 0x85, 0xf2, 0x1f, 0xb8, 0x0b, 0x98, 0x88, 0xbe, 0x70, 0x22, 0xcc, 0x75, 0x02, 0xb2,
+	0x3f, 0x01, 0x63, 0xb0, 0xe8, 0xdd, 0xba, 0xa3, 0x2c, 0x81, 0xa0, 0xdc, 0x38, 0x33, 0xc2, 0x6d,
+	0xc8, 0x5e, 0xc2, 0xf4, 0x7d, 0x7e, 0x89, 0x3d, 0x0f, 0x85, 0xd0, 0xa0, 0x28, 0x3b, 0x1c, 0x17,
+	0xd3, 0x7b, 0x10, 0x19, 0x75, 0x81, 0x52, 0x77, 0x44, 0x5d, 0xc6, 0x9e, 0xc2, 0xac, 0x2d, 0xed,
+	0x1e, 0x7e, 0xa5, 0x0b, 0x3c, 0xdd, 0x2b, 0x98, 0x73, 0x34, 0x4d, 0x2d, 0xff, 0xc7, 0x64, 0x09,
+	0x8b, 0xbe, 0xb8, 0xb5, 0x39, 0xfe, 0x45, 0x20, 0x3c, 0x41, 0xbd, 0xa5, 0x9f, 0x20, 0x6a, 0x17,
+	0x84, 0xb2, 0xc1, 0x76, 0x78, 0xdb, 0x73, 0xf8, 0x68, 0x50, 0xe3, 0x0d, 0xfa, 0x03, 0x84, 0x76,
+	0x95, 0x68, 0x32, 0xd2, 0xdd, 0x3f, 0x5b, 0xb6, 0xcf, 0xc3, 0xce, 0x20, 0x6a, 0x9b, 0x3f, 0x42,
+	0xe7, 0xed, 0xc1, 0xe1, 0xe3, 0x1b, 0x35, 0x57, 0x7c, 0xb6, 0xe1, 0x23, 0x7c, 0xd7, 0xc6, 0x38,
+	0xc2, 0xe7, 0x4d, 0xeb, 0xcc, 0xbe, 0x90, 0xb6, 0xb1, 0x23, 0x7c, 0xde, 0xc8, 0x46, 0xf8, 0xfc,
+	0xc9, 0xbc, 0x7b, 0xf3, 0xe5, 0xf5, 0x79, 0x6e, 0xb6, 0xcd, 0x3a, 0xcd, 0x54, 0x79, 0xe4, 0x17,
+	0xfc, 0x9d, 0x0e, 0x5d, 0x22, 0xeb, 0xc8, 0x5d, 0x20, 0xcf, 0x7f, 0x07, 0x00, 0x00, 0xff, 0xff,
+	0x38, 0x77, 0x0c, 0x36, 0x63, 0x04, 0x00, 0x00,
 }
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -17,6 +17,8 @@
 // Giver moves unused tokens to peers.
 type Giver interface {
 	Give(ctx context.Context, team string, tokens int64) int64
+	// Returned takes tokens back that a peer had borrowed.
+	Returned(team string, tokens int64)
 }
 
 // ServerConfig holds the parts of a server; Topics are those that it passes calls on to, by name.
@@ -67,6 +69,12 @@
 	return &meshpb.GiveResponse{Tokens: se.config.Giver.Give(ctx, rq.GetTeam(), max(0, rq.GetTokens()))}, nil
 }
 
+// Return takes tokens back that the caller had borrowed.
+func (se *server) Return(_ context.Context, rq *meshpb.ReturnRequest) (*meshpb.ReturnResponse, error) {
+	se.config.Giver.Returned(rq.GetTeam(), max(0, rq.GetTokens()))
+	return &meshpb.ReturnResponse{}, nil
+}
+
 func (se *server) topic(name string) (keyed.Topic, error) {
 	to, ok := se.config.Topics[name]
 	if !ok {
--- a/pkg/purse/borrower_test.go
+++ b/pkg/purse/borrower_test.go
@@ -72,3 +72,82 @@
 		})
 	}
 }
+
+// TestSurplusGoesBack replays a borrower whose last request left tokens over: they go back to a holder once the team is near its end.
+func TestSurplusGoesBack(tt *testing.T) {
+	const total, taken, cost = 100_000, 2000, 500
+	cases := []struct {
+		name string
+		// unused is what the holder has left.
+		unused  int64
+		resting bool
+		want    []Surplus
+	}{
+		{"the team is near its end", 5000, false, []Surplus{{Team: propertyTeam, Tokens: taken - cost, Holder: "a"}}},
+		{"the team has plenty", 50_000, false, nil},
+		{"the holder does not answer", 5000, true, nil},
+	}
+	for _, tc := range cases {
+		tt.Run(tc.name, func(tt *testing.T) {
+			ho := newBorrower(tt, total, Row{Granted: total, Base: total, Spent: total - tc.unused, Delay: time.Minute, Life: 1, Demand: 100_000, Own: 100_000})
+			ho.purse.Take(propertyTeam, taken)
+			if got := ho.purse.Reserve(ho.world.now, propertyTeam, taken); got != Covered {
+				tt.Fatalf("what a peer gave is not covered: %d", got)
+			}
+			resting := func(string) bool { return tc.resting }
+			if diff := cmp.Diff([]Surplus(nil), ho.purse.Surpluses(ho.world.now, false, resting)); diff != "" {
+				tt.Errorf("while the request runs: %s", diff)
+			}
+			ho.purse.Settle(ho.world.now, propertyTeam, taken, cost)
+			if diff := cmp.Diff(tc.want, ho.purse.Surpluses(ho.world.now, false, resting)); diff != "" {
+				tt.Error(diff)
+			}
+			if tc.want != nil && ho.purse.Reserve(ho.world.now, propertyTeam, 1) == Covered {
+				tt.Error("what was sent back can still be spent")
+			}
+		})
+	}
+}
+
+// TestStopInOutage stops a holder while the store is away: what its ceiling allows goes to another holder at once, and the rest as the
+// ceiling rises, since its next life will count all of that as spent.
+func TestStopInOutage(tt *testing.T) {
+	const total = 100_000
+	wo := &purseWorld{topic: &memTopic{cut: map[int]bool{}}, holders: make([]*holder, 2), total: total, most: total}
+	wo.start(0, 0)
+	wo.start(1, 0)
+	names := []string{"instance-0", "instance-1"}
+	for range 20 {
+		wo.now += stepTime
+		for _, ho := range wo.holders {
+			ho.purse.SetMembers(names)
+			ho.replayStep(tt)
+		}
+	}
+	stopping, other := wo.holders[0], wo.holders[1]
+	nobodyRests := func(string) bool { return false }
+	if diff := cmp.Diff([]Surplus(nil), stopping.purse.Surpluses(wo.now, true, nobodyRests)); diff != "" {
+		tt.Errorf("before the end: %s", diff)
+	}
+	wo.topic.cut = map[int]bool{0: true, 1: true}
+	stopping.purse.Close()
+	moved := int64(0)
+	for range 50 {
+		wo.now += stepTime
+		for _, su := range stopping.purse.Surpluses(wo.now, true, nobodyRests) {
+			if diff := cmp.Diff("instance-1", su.Holder); diff != "" {
+				tt.Fatal(diff)
+			}
+			other.purse.Take(su.Team, su.Tokens)
+			moved += su.Tokens
+		}
+	}
+	wo.topic.cut = map[int]bool{}
+	wo.start(0, 0)
+	wo.holders[0].replayStep(tt)
+	// All that counts as spent at the next life was moved.
+	lost := wo.holders[0].purse.Figures(wo.now, propertyTeam).Lost
+	if moved == 0 || lost-moved > leastSurplus {
+		tt.Errorf("%d tokens count as spent, %d were moved", lost, moved)
+	}
+}
--- a/pkg/purse/lend.go
+++ b/pkg/purse/lend.go
@@ -6,8 +6,69 @@
 	"time"
 )
 
-// borrowSeconds is the demand in seconds that a holder borrows beside what is short.
-const borrowSeconds = 1
+const (
+	// borrowSeconds is the demand in seconds that a holder borrows beside what is short.
+	borrowSeconds = 1
+	// scarcePercent is the part of a total below which what is unused counts as scarce: then idle tokens of borrowers are missed elsewhere.
+	scarcePercent = 10
+	// leastSurplus is the number of tokens below which a return is not worth a call.
+	leastSurplus = 100
+)
+
+// Surplus is what an instance has of a team's tokens that should go to another holder.
+type Surplus struct {
+	Team   string
+	Tokens int64
+	Holder string
+}
+
+// Surpluses takes out of the accounts what other holders can use better: what this instance borrowed and does not need while a team is
+// scarce, and, once it is closing and the store away, all that its ceilings let it move. Holders that are resting get nothing.
+//
+// It answers two loads. Near a team's end each borrower keeps what its last request left over, too little for the next one there, and
+// together as much as the team still has. And of an instance that stops in an outage, the next life writes off all that its ceiling
+// allowed. What is taken out counts as given away; if it does not arrive it is lost, never doubled.
+func (pu *Purse) Surpluses(now time.Duration, storeAway bool, resting func(instance string) bool) []Surplus {
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	var list []Surplus
+	for team, total := range pu.totals {
+		ac := pu.account(team)
+		tokens := ac.limit(now, pu.excess(team)) - ac.used()
+		if tokens < leastSurplus || ac.waiting > 0 {
+			continue
+		}
+		holder, unused := pu.emptiest(team, now, storeAway, resting)
+		evacuates := pu.closing && storeAway
+		returns := !pu.isHome(team, now) && unused <= total*scarcePercent/percent
+		if holder == "" || (!evacuates && !returns) {
+			continue
+		}
+		ac.given += tokens
+		list = append(list, Surplus{Team: team, Tokens: tokens, Holder: holder})
+	}
+	slices.SortFunc(list, func(aa, bb Surplus) int { return cmp.Compare(aa.Team, bb.Team) })
+	return list
+}
+
+// emptiest returns the holder with the least unused tokens of a team, and what all of them have unused. While the store is away no row is
+// renewed, so their ages say nothing.
+func (pu *Purse) emptiest(team string, now time.Duration, storeAway bool, resting func(instance string) bool) (name string, sum int64) {
+	least := int64(0)
+	homes := pu.homes(team, now)
+	for instance, ho := range pu.rows[team] {
+		unused := max(0, ho.row.Granted-ho.row.Spent-ho.row.Moved)
+		sum += unused
+		lapsed := now-ho.seenAt > aliveSpan || !slices.Contains(homes, instance)
+		if instance == pu.config.Instance || (lapsed && !storeAway) || resting(instance) {
+			continue
+		}
+		if name == "" || unused < least || (unused == least && instance < name) {
+			name, least = instance, unused
+		}
+	}
+	return name, sum
+}
 
 // Give moves up to the given tokens out of the grant to a peer and returns how many; they count as spent here.
 //
--- a/pkg/purse/property_test.go
+++ b/pkg/purse/property_test.go
@@ -144,6 +144,8 @@
 	most    int64
 	used    int64
 	lives   int64
+	// members are the names that the instances know, or nil where all of them hold grants.
+	members []string
 }
 
 func (wo *purseWorld) start(index int, boot time.Duration) {
@@ -153,6 +155,7 @@
 	ho.purse = New(Config{Instance: fmt.Sprint("instance-", index), Life: ho.life}, wo.now, stamp)
 	ho.view = keyed.NewView(port{topic: wo.topic, owner: index}, ho)
 	ho.purse.SetTotals(map[string]int64{propertyTeam: wo.total})
+	ho.purse.SetMembers(wo.members)
 	wo.holders[index] = ho
 }
 
@@ -207,6 +210,10 @@
 func TestNeverOverspent(tt *testing.T) {
 	rapid.Check(tt, func(tt *rapid.T) {
 		wo := &purseWorld{topic: &memTopic{cut: map[int]bool{}}, holders: make([]*holder, propertyInstances), total: firstTotal, most: firstTotal}
+		if rapid.Bool().Draw(tt, "borrowers") {
+			// Beside members that never write, some of the instances only borrow.
+			wo.members = []string{"a", "b", "c", "instance-0", "instance-1", "instance-2"}
+		}
 		for ix := range propertyInstances {
 			wo.start(ix, 0)
 		}
@@ -240,6 +247,15 @@
 					to.purse.Take(propertyTeam, given)
 				}
 			},
+			"return": func(tt *rapid.T) {
+				from, to := wo.holders[index.Draw(tt, "from")], wo.holders[index.Draw(tt, "to")]
+				for _, su := range from.purse.Surpluses(wo.now, rapid.Bool().Draw(tt, "away"), func(string) bool { return false }) {
+					if from != to && rapid.Bool().Draw(tt, "arrives") {
+						to.purse.Take(su.Team, su.Tokens)
+					}
+				}
+			},
+			"close": func(tt *rapid.T) { wo.holders[index.Draw(tt, "who")].purse.Close() },
 			"restart": func(tt *rapid.T) {
 				who := index.Draw(tt, "who")
 				boot := wo.holders[who].boot
