--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -19,8 +19,10 @@
 	borrowerInterval = 3 * time.Second
 	// grantLeast is the least pause between appends when requests wait for tokens.
 	grantLeast = 60 * time.Millisecond
-	// conflictPause spreads instances that append at the same moment; one append takes the store some milliseconds.
+	// conflictPause spreads instances that append at the same moment while requests wait; one append takes the store some milliseconds.
 	conflictPause = 30 * time.Millisecond
+	// calmConflictPause is the same while no request waits: each new row is a reason for the other holders to write theirs.
+	calmConflictPause = 300 * time.Millisecond
 )
 
 // grants keeps one purse and its partition of the topic of grants together.
@@ -109,7 +111,11 @@
 		return grantInterval
 	case errors.Is(err, keyed.ErrConflict):
 		gr.purse.Refused(ba)
-		return time.Duration(rand.Int64N(int64(conflictPause)))
+		most := calmConflictPause
+		if gr.purse.Waiting() {
+			most = conflictPause
+		}
+		return time.Duration(rand.Int64N(int64(most)))
 	case errors.Is(err, keyed.ErrRefused):
 		gr.purse.Refused(ba)
 	}
--- a/pkg/purse/borrower_test.go
+++ b/pkg/purse/borrower_test.go
@@ -151,3 +151,17 @@
 		tt.Errorf("%d tokens count as spent, %d were moved", lost, moved)
 	}
 }
+
+// TestWaiting reports waiting requests, for whose sake conflicts of appends are resolved faster.
+func TestWaiting(tt *testing.T) {
+	ho := newBorrower(tt, 1000, Row{Granted: 900, Base: 900, Delay: time.Minute, Life: 1})
+	var got []bool
+	got = append(got, ho.purse.Waiting())
+	ho.purse.Await(ho.world.now, propertyTeam, 100)
+	got = append(got, ho.purse.Waiting())
+	ho.purse.Leave(propertyTeam, 100)
+	got = append(got, ho.purse.Waiting())
+	if diff := cmp.Diff([]bool{false, true, false}, got); diff != "" {
+		tt.Error(diff)
+	}
+}
--- a/pkg/purse/purse.go
+++ b/pkg/purse/purse.go
@@ -125,6 +125,18 @@
 	pu.account(team).waiting -= tokens
 }
 
+// Waiting reports whether requests wait for tokens.
+func (pu *Purse) Waiting() bool {
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	for _, ac := range pu.accounts {
+		if ac.waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Settle ends a reservation with what the request cost, which is no more than what was reserved.
 func (pu *Purse) Settle(now time.Duration, team string, reserved, cost int64) {
 	pu.mu.Lock()
