--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -189,6 +189,16 @@
 	}
 }
 
+// logEnd returns the last lines of the instance's log.
+func (no *node) logEnd() string {
+	const most = 4 << 10
+	data, err := os.ReadFile(no.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-most):])
+}
+
 func (no *node) isReady() bool {
 	rs, err := http.Get("http://" + no.ready + "/readyz")
 	if err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -95,7 +95,7 @@
 	for _, no := range wo.nodes {
 		for !no.isReady() {
 			if time.Now().After(ends) {
-				tt.Fatalf("%s is not ready; its log is in %s", no.name, no.log.Name())
+				tt.Fatalf("%s is not ready; its log ends with\n%s", no.name, no.logEnd())
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
