Placement at its worst load: refusals by expected wait and rank, where subjects are, the price of reading again

Change: a prompt is refused at once when those before it would take a quarter, 15 or 8 in 100 of its useful time by the route's rank; notices name the subject, and where it was sent last goes before its home; reading again is weighed more when prompts wait everywhere.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -143,11 +143,13 @@
 func (ed *Edge) StoreReachable() bool { return ed.mesh.StoreReachable() }
 
 // told takes what another instance has sent to an endpoint.
-func (ed *Edge) told(nt mesh.Notice) { ed.board.Told(ed.config.Clock(), nt.Endpoint, nt.Unread) }
+func (ed *Edge) told(nt mesh.Notice) {
+	ed.board.Told(ed.config.Clock(), nt.Endpoint, nt.Subject, nt.Unread)
+}
 
 // Dispatched tells the other instances about a long prompt that goes to an endpoint.
-func (ed *Edge) Dispatched(endpoint string, unread int64) {
-	if unread >= leastNoticed && !ed.notices.Send(mesh.Notice{Endpoint: endpoint, Unread: unread}) {
+func (ed *Edge) Dispatched(endpoint string, subject uint64, unread int64) {
+	if unread >= leastNoticed && !ed.notices.Send(mesh.Notice{Endpoint: endpoint, Subject: subject, Unread: unread}) {
 		ed.metrics.Counter("weir_notices_dropped_total").Inc()
 	}
 }
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -18,6 +18,7 @@
 	endpoints  []string
 	candidates int
 	expected   time.Duration
+	wait       time.Duration
 	unread     int64
 	// copied is the number of prompt tokens that the endpoint was told to copy, from the endpoint named by source.
 	copied int64
@@ -26,7 +27,7 @@
 
 func (tr *trail) note(de place.Decision) {
 	tr.candidates = de.Candidates
-	tr.expected = de.First
+	tr.expected, tr.wait = de.First, de.Wait
 	tr.unread = de.Unread
 	tr.copied, tr.source = de.Copied, ""
 	if de.Source != nil {
@@ -117,7 +118,7 @@
 	}
 	if tr.candidates > 0 {
 		args = append(args, "endpoints", strings.Join(tr.endpoints, ","), "candidates", tr.candidates,
-			"expected", seconds(tr.expected), "unread", tr.unread,
+			"expected", seconds(tr.expected), "wait", seconds(tr.wait), "unread", tr.unread,
 			"registrationsAge", seconds(vi.gate.config.Roster.Age(now)))
 	}
 	if tr.copied > 0 {
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -99,7 +99,8 @@
 	cf := vi.gate.config
 	now := vi.now()
 	rq := place.Request{
-		Prompt: vi.call.Prompt, Output: vi.call.Output, Parts: vi.call.Parts, Domain: cf.Domain, Tried: fw.tried, Left: vi.usefulTime(),
+		Prompt: vi.call.Prompt, Output: vi.call.Output, Parts: vi.call.Parts, Domain: cf.Domain, Tried: fw.tried, Rank: vi.route.Priority,
+		Left: vi.usefulTime(),
 	}
 	de := cf.Board.Pick(now, vi.service, cf.Roster.Usable(vi.service.Name), rq)
 	vi.trail.note(de)
@@ -176,7 +177,7 @@
 	cf := vi.gate.config
 	rq := place.Request{Prompt: vi.call.Prompt, Parts: vi.call.Parts}
 	sd := cf.Board.Begin(vi.now(), vi.service, rq, de)
-	cf.Notifier.Dispatched(de.Endpoint.ID, de.Unread)
+	cf.Notifier.Dispatched(de.Endpoint.ID, rq.Subject(), de.Unread)
 	fw.tried = append(fw.tried, de.Endpoint.ID)
 	vi.trail.send(de)
 	out, err := fw.exchange(de, sd)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -63,8 +63,8 @@
 
 // Notifier tells the other instances what was sent where.
 type Notifier interface {
-	// Dispatched notes that a prompt with the given unread tokens goes to an endpoint; it never blocks.
-	Dispatched(endpoint string, unread int64)
+	// Dispatched notes that a prompt about a subject, with the given unread tokens, goes to an endpoint; it never blocks.
+	Dispatched(endpoint string, subject uint64, unread int64)
 }
 
 // Config holds the parts of a gate.
--- a/internal/mesh/notice.go
+++ b/internal/mesh/notice.go
@@ -25,6 +25,8 @@
 	Endpoint string `cbor:"1,keyasint"`
 	// Unread is the number of prompt tokens that the endpoint has to read.
 	Unread int64 `cbor:"2,keyasint"`
+	// Subject is the deepest part of the prompt that other requests share, or zero.
+	Subject uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Notices sends and receives notices as datagrams; what is lost is not sent again.
--- a/pkg/place/board.go
+++ b/pkg/place/board.go
@@ -29,8 +29,6 @@
 	failureTime = 300 * time.Millisecond
 	// homeShare is the part of the shared prompt that the home of its parts is not expected to hold when this instance has not sent it there.
 	homeShare = 0.1
-	// rereadFactor weighs the time to read a shared part again, which delays all that run beside it, too.
-	rereadFactor = 3
 	// silenceFactor weighs an endpoint's unusual silence: whoever joins those that wait may wait for as long again.
 	silenceFactor = 2
 	// spreadTime is the most by which the order of alike endpoints differs from request to request: instances that know the same must not all
@@ -40,17 +38,15 @@
 	localTokens = 600
 	// waitingTokens is what a request that waits at an endpoint is assumed to have unread.
 	waitingTokens = 1500
-	// hopelessShare is the part of the useful time beyond which a request is refused at once.
-	hopelessShare = 0.9
-	// leastRetryAfter and mostRetryAfter bound the advice to callers.
-	leastRetryAfter = 200 * time.Millisecond
-	mostRetryAfter  = 2 * time.Second
 )
 
 // Board is what this instance knows of all endpoints; it is safe for concurrent use.
 type Board struct {
 	mu     sync.Mutex
 	states map[string]*state
+	where  whereabouts
+	// weighed are the states of the endpoints of one decision, kept for the next one.
+	weighed []*state
 }
 
 // NewBoard returns a board that knows nothing.
@@ -70,80 +66,75 @@
 	if de.Endpoint == nil {
 		return Decision{Reason: "every endpoint was tried", RetryAfter: leastRetryAfter, Candidates: len(list)}
 	}
-	if rq.Left > 0 && float64(de.First) > hopelessShare*float64(rq.Left) {
-		de.RetryAfter = min(mostRetryAfter, max(leastRetryAfter, de.First-rq.Left/2))
-		de.Endpoint = nil
-		de.Reason = "no endpoint is expected to answer in time"
-	}
-	return de
+	return refuseLate(rq, de)
 }
 
 // pickFrom returns the endpoint with the least expected time; with anyCircuit, also those that recently failed.
 func (bo *Board) pickFrom(now time.Duration, se *plan.Service, list []*roster.Endpoint, rq Request, anyCircuit bool) Decision {
 	home := homeOf(list, rq)
-	source := bo.sourceOf(now, se, home, rq)
+	holder := bo.holderOf(list, home, rq)
+	source := bo.sourceOf(now, se, holder, rq)
+	bo.weighed = bo.weighed[:0]
+	for _, en := range list {
+		bo.weighed = append(bo.weighed, bo.state(en, se))
+	}
+	price := rereadPrice(now, bo.weighed, rq)
 	best := Decision{Candidates: len(list), Reason: "least expected time"}
 	least := time.Duration(0)
-	for _, en := range list {
-		st := bo.state(en, se)
+	for ix, en := range list {
+		st := bo.weighed[ix]
 		if slices.Contains(rq.Tried, en.ID) || (!anyCircuit && !st.circuit.Allows(now)) {
 			continue
 		}
-		hold := st.holding(rq, en == home)
+		hold := st.holding(rq, en == holder)
 		var co copying
-		if en != home {
+		if en != holder {
 			co = source.copying(se, hold)
 		}
 		unread := rq.Prompt - hold - co.tokens
-		first := st.expect(now, se, rq, unread) + co.time
-		cost := first + time.Duration(st.recentFailures(now)*float64(failureTime)) + rereadTime(rq, unread) + co.time
+		first, wait := st.expect(now, se, rq, unread)
+		first += co.time
+		cost := first + time.Duration(st.recentFailures(now)*float64(failureTime)) + rereadTime(rq, unread, price) + co.time
 		cost += silenceFactor*st.silence(now) + spread(rq, en)
 		if en.Domain != rq.Domain {
 			cost += domainTime
 		}
 		if best.Endpoint == nil || cost < least {
-			best.Endpoint, best.First, best.Unread, least = en, first, unread, cost
+			best.Endpoint, best.First, best.Wait, best.Unread, least = en, first, wait, unread, cost
 			best.Source, best.Copied = co.source, co.tokens
 		}
 	}
 	return best
 }
 
-// rereadTime returns what reading shared parts again costs beyond the wait of the request itself.
-func rereadTime(rq Request, unread int64) time.Duration {
-	if len(rq.Parts) < 2 {
-		return 0
-	}
-	shared := max(0, unread-rq.Parts[len(rq.Parts)-1].Tokens)
-	return time.Duration((rereadFactor - 1) * float64(shared) / readRate * float64(time.Millisecond))
-}
-
-// holding returns the prompt tokens that the endpoint is expected to hold.
-func (st *state) holding(rq Request, home bool) int64 {
+// holding returns the prompt tokens that the endpoint is expected to hold; holder says that its shared parts are believed to be there.
+func (st *state) holding(rq Request, holder bool) int64 {
 	if rq.Prompt == 0 {
 		return 0
 	}
 	hold := st.cache.held(rq.Parts)
-	if home && len(rq.Parts) > 1 {
+	if holder && len(rq.Parts) > 1 {
 		hold = max(hold, int64((1-homeShare)*float64(rq.shared())))
 	}
 	return hold
 }
 
-// expect returns the expected time to the first event, or to the answer of a plain service.
-func (st *state) expect(now time.Duration, se *plan.Service, rq Request, unread int64) time.Duration {
+// expect returns the expected time to the first event, or to the answer of a plain service, and the part of it in which the endpoint reads
+// the prompts of others.
+func (st *state) expect(now time.Duration, se *plan.Service, rq Request, unread int64) (first, wait time.Duration) {
 	load := st.running + st.others(now)
 	if rq.Prompt == 0 {
-		return st.expectPlain(load)
+		return st.expectPlain(load), 0
 	}
 	ahead := max(st.unread+st.toldUnread(now), int64(st.waiting(now))*waitingTokens)
-	read := time.Duration(float64(unread+ahead) / readRate * float64(time.Millisecond))
+	wait = time.Duration(float64(ahead) / readRate * float64(time.Millisecond))
+	read := time.Duration(float64(unread) / readRate * float64(time.Millisecond))
 	read += time.Duration(float64(unread) * float64(rq.Prompt) / 1e6 * float64(pairTime))
-	first := firstBase + read + time.Duration(load)*runningTime
+	first = firstBase + wait + read + time.Duration(load)*runningTime
 	if over := load + 1 - slotsOf(st, se); over > 0 {
 		first += time.Duration(over) * plainTime
 	}
-	return time.Duration(float64(first) * st.slowness)
+	return time.Duration(float64(first) * st.slowness), time.Duration(float64(wait) * st.slowness)
 }
 
 func (st *state) expectPlain(load int) time.Duration {
--- a/pkg/place/board_test.go
+++ b/pkg/place/board_test.go
@@ -127,7 +127,7 @@
 
 // BenchmarkPick measures a decision by the number of endpoints.
 func BenchmarkPick(bb *testing.B) {
-	for _, count := range []int{9, 60, 1000} {
+	for _, count := range []int{9, 21, 60, 1000} {
 		bb.Run(fmt.Sprint("endpoints=", count), func(bb *testing.B) {
 			bo, list, rq := NewBoard(), endpoints(count), dossier(7, 1)
 			bb.ReportAllocs()
--- /dev/null
+++ b/pkg/place/refuse.go
@@ -0,0 +1,32 @@
+package place
+
+import "time"
+
+const (
+	// leastRetryAfter and mostRetryAfter bound the advice to callers.
+	leastRetryAfter = 200 * time.Millisecond
+	mostRetryAfter  = 2 * time.Second
+	// hopelessShare is the part of the useful time beyond which a first event is of no use: the expected time is exceeded as often as not.
+	hopelessShare = 0.9
+)
+
+// waitShares are the parts of the useful time that a prompt may wait for those of others, by rank; the useful time is about four times the
+// objective. Its own length is not counted, so that long prompts are not refused for their length.
+var waitShares = [...]float64{0.25, 0.15, 0.08}
+
+// refuseLate turns a decision into a refusal where the first event is expected too late to be of use, or all endpoints are so busy that
+// what is admitted makes all others late.
+//
+// It answers the load that no placement can serve in time: what is refused at once leaves the endpoints to what is still in time, the less
+// urgent first, and the caller learns when to come back instead of waiting for nothing.
+func refuseLate(rq Request, de Decision) Decision {
+	late := float64(de.First) > hopelessShare*float64(rq.Left)
+	crowded := rq.Prompt > 0 && float64(de.Wait) > waitShares[min(max(0, rq.Rank), len(waitShares)-1)]*float64(rq.Left)
+	if rq.Left <= 0 || (!late && !crowded) {
+		return de
+	}
+	return Decision{
+		Reason: "no endpoint is expected to answer in time", RetryAfter: min(mostRetryAfter, max(leastRetryAfter, de.First-rq.Left/2, de.Wait)),
+		First: de.First, Wait: de.Wait, Unread: de.Unread, Candidates: de.Candidates,
+	}
+}
--- a/pkg/place/request.go
+++ b/pkg/place/request.go
@@ -23,6 +23,8 @@
 	Domain string
 	// Tried are the IDs of the endpoints that already got the request.
 	Tried []string
+	// Rank is the urgency, 0 first: where not all can be answered in time, the less urgent are refused first.
+	Rank int
 	// Left is the time in which the first event, or the whole answer of a plain service, is of use.
 	Left time.Duration
 }
@@ -35,6 +37,14 @@
 	return rq.Prompt - rq.Parts[len(rq.Parts)-1].Tokens
 }
 
+// Subject returns the deepest shared part where it is long enough to be worth a copy, else zero; instances tell each other where it was sent.
+func (rq Request) Subject() uint64 {
+	if rq.shared() < localTokens {
+		return 0
+	}
+	return rq.Parts[len(rq.Parts)-2].ID
+}
+
 // Decision is the endpoint for a request; without one, Reason says why and RetryAfter when room is expected.
 type Decision struct {
 	Endpoint   *roster.Endpoint
@@ -42,6 +52,8 @@
 	RetryAfter time.Duration
 	// First is the expected time to the first event or the answer.
 	First time.Duration
+	// Wait is the part of it in which the endpoint reads the prompts of others.
+	Wait time.Duration
 	// Unread is the number of prompt tokens that the endpoint is not expected to hold, and does not copy either.
 	Unread int64
 	// Source is an endpoint from whose memory the chosen one should copy shared parts of the prompt, or nil.
--- a/pkg/place/send.go
+++ b/pkg/place/send.go
@@ -29,6 +29,7 @@
 	st.unread += de.Unread
 	st.circuit.Begin()
 	st.cache.add(rq.Parts)
+	bo.where.note(rq.Subject(), de.Endpoint.ID)
 	return &Send{board: bo, state: st, request: rq, begun: now, first: de.First, unread: de.Unread}
 }
 
--- a/pkg/place/source.go
+++ b/pkg/place/source.go
@@ -29,18 +29,33 @@
 	time   time.Duration
 }
 
-// sourceOf returns the home of the request's shared parts if others may copy from it.
+// holderOf returns the endpoint that is believed to hold the request's shared parts: where they were sent last, as far as this instance
+// knows, else their home.
+func (bo *Board) holderOf(list []*roster.Endpoint, home *roster.Endpoint, rq Request) *roster.Endpoint {
+	id, ok := bo.where.find(rq.Subject())
+	if home == nil || !ok || id == home.ID {
+		return home
+	}
+	for _, en := range list {
+		if en.ID == id {
+			return en
+		}
+	}
+	return home
+}
+
+// sourceOf returns the holder of the request's shared parts if others may copy from it.
 //
 // It answers the load of one subject in demand: what its home has no room for runs elsewhere without reading the subject again.
-func (bo *Board) sourceOf(now time.Duration, se *plan.Service, home *roster.Endpoint, rq Request) source {
-	if home == nil || se.CopyRate <= 0 {
+func (bo *Board) sourceOf(now time.Duration, se *plan.Service, holder *roster.Endpoint, rq Request) source {
+	if holder == nil || se.CopyRate <= 0 {
 		return source{}
 	}
-	st := bo.state(home, se)
+	st := bo.state(holder, se)
 	if !st.circuit.Allows(now) || st.recentFailures(now) > maxSourceFailures || st.silence(now) > 0 {
 		return source{}
 	}
-	return source{endpoint: home, tokens: st.holding(rq, true)}
+	return source{endpoint: holder, tokens: st.holding(rq, true)}
 }
 
 // copying returns what an endpoint that holds the given tokens copies from the source.
--- a/pkg/place/told.go
+++ b/pkg/place/told.go
@@ -2,13 +2,14 @@
 
 import "time"
 
-// Told notes that another instance has sent a prompt with the given unread tokens to an endpoint.
+// Told notes that another instance has sent a prompt about a subject, with the given unread tokens, to an endpoint.
 //
 // It answers the load of many instances before the same endpoints: what an endpoint itself reports comes with an answer, and is as old as
 // that answer's first event.
-func (bo *Board) Told(now time.Duration, endpoint string, unread int64) {
+func (bo *Board) Told(now time.Duration, endpoint string, subject uint64, unread int64) {
 	bo.mu.Lock()
 	defer bo.mu.Unlock()
+	bo.where.note(subject, endpoint)
 	st, ok := bo.states[endpoint]
 	if !ok || unread <= 0 {
 		return
--- a/pkg/place/told_test.go
+++ b/pkg/place/told_test.go
@@ -29,7 +29,7 @@
 		tt.Run(tc.name, func(tt *testing.T) {
 			bo := NewBoard()
 			first := bo.Pick(time.Second, model, list, rq).Endpoint
-			bo.Told(time.Second, first.ID, tc.told)
+			bo.Told(time.Second, first.ID, 0, tc.told)
 			got := bo.Pick(tc.at, model, list, rq).Endpoint
 			if diff := cmp.Diff(tc.want, got == first); diff != "" {
 				tt.Error(diff)
@@ -84,7 +84,7 @@
 		open = append(open, arrivalOf{firstAt: freeAt[de.Endpoint.ID], send: boards[who].Begin(now, se, rq, de)})
 		for ix, bo := range boards {
 			if tell && ix != who {
-				bo.Told(now, de.Endpoint.ID, de.Unread)
+				bo.Told(now, de.Endpoint.ID, rq.Subject(), de.Unread)
 			}
 		}
 	}
