--- a/internal/cmds/main.go
+++ b/internal/cmds/main.go
@@ -65,7 +65,7 @@
 		// The exit code is chosen by Main.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			serveCommand(), edgeCommand(), devCommand(), emulateCommand(), ticketCommand(), statusCommand(), configCommand(),
+			serveCommand(), edgeCommand(), devCommand(), labCommand(), emulateCommand(), ticketCommand(), statusCommand(), configCommand(),
 			{
 				Name: "version", Usage: "print the version",
 				Action: func(_ context.Context, cm *cli.Command) error {
