--- a/internal/cmds/lab.go
+++ b/internal/cmds/lab.go
@@ -60,7 +60,9 @@
 			if err != nil {
 				return fail(ExitUsage, "%s", err)
 			}
-			fmt.Fprintf(cm.Root().ErrWriter, "played %s with %s\n", sc.Name, policy)
+			if _, err := fmt.Fprintf(cm.Root().ErrWriter, "played %s with %s\n", sc.Name, policy); err != nil {
+				return err
+			}
 			list = append(list, re)
 		}
 	}
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -111,11 +111,7 @@
 		return grantInterval
 	case errors.Is(err, keyed.ErrConflict):
 		gr.purse.Refused(ba)
-		most := calmConflictPause
-		if gr.purse.Waiting() {
-			most = conflictPause
-		}
-		return time.Duration(rand.Int64N(int64(most)))
+		return gr.conflictDelay()
 	case errors.Is(err, keyed.ErrRefused):
 		gr.purse.Refused(ba)
 	}
@@ -124,6 +120,15 @@
 	return retryPause
 }
 
+// conflictDelay returns the pause after another instance has appended at the same moment.
+func (gr *grants) conflictDelay() time.Duration {
+	most := calmConflictPause
+	if gr.purse.Waiting() {
+		most = conflictPause
+	}
+	return time.Duration(rand.Int64N(int64(most)))
+}
+
 // readMembers takes the announcements of instances, which stand in the first partition.
 func (gr *grants) readMembers(list []keyed.Record) {
 	if gr.shard == 0 {
--- a/internal/emul/result.go
+++ b/internal/emul/result.go
@@ -90,25 +90,41 @@
 	return ta
 }
 
+// columns are the headings of the table, columnFormat the format of one row.
+const (
+	columns      = "scenario\tpolicy\tclass\trequests\tworth\tin objective\tlate\trefused\tleft\tfirst p50\tp95\tp99\tread, M\tagain, M\n"
+	columnFormat = "%s\t%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%s\t%s\t%s\t%s\t%s\n"
+)
+
 // Write prints results as one table; with classes, a row for each class, too.
 func Write(wr io.Writer, list []Result, classes bool) error {
 	tw := tabwriter.NewWriter(wr, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(tw, "scenario\tpolicy\tclass\trequests\tworth\tin objective\tlate\trefused\tleft\tfirst p50\tp95\tp99\tread, M\tagain, M")
+	if _, err := io.WriteString(tw, columns); err != nil {
+		return err
+	}
 	for _, re := range list {
 		rows := []Tally{re.All}
 		if classes {
 			rows = append(rows, re.Classes...)
 		}
 		for ix, ta := range rows {
-			read, again := "", ""
-			if ix == 0 {
-				read, again = fmt.Sprintf("%.2f", float64(re.Read)/1e6), fmt.Sprintf("%.2f", float64(re.ReadAgain)/1e6)
+			if err := re.writeRow(tw, ta, ix == 0); err != nil {
+				return err
 			}
-			fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%s\t%s\t%s\t%s\t%s\n", re.Scenario, re.Policy, ta.Class, ta.Requests,
-				ta.Worth, ta.InObjective, ta.Late, ta.Refused, ta.Left, rounded(ta.P50), rounded(ta.P95), rounded(ta.P99), read, again)
 		}
 	}
 	return tw.Flush()
 }
 
+// writeRow prints one row; what was read is known of all classes together.
+func (re Result) writeRow(wr io.Writer, ta Tally, all bool) error {
+	read, again := "", ""
+	if all {
+		read, again = fmt.Sprintf("%.2f", float64(re.Read)/1e6), fmt.Sprintf("%.2f", float64(re.ReadAgain)/1e6)
+	}
+	_, err := fmt.Fprintf(wr, columnFormat, re.Scenario, re.Policy, ta.Class, ta.Requests, ta.Worth, ta.InObjective, ta.Late, ta.Refused, ta.Left,
+		rounded(ta.P50), rounded(ta.P95), rounded(ta.P99), read, again)
+	return err
+}
+
 func rounded(du time.Duration) time.Duration { return du.Round(time.Millisecond) }
