--- a/internal/mesh/notice.go
+++ b/internal/mesh/notice.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -16,6 +17,8 @@
 	maxNoticeBytes = 512
 	// noticeQueue is how many notices may wait to be sent; further ones are dropped, since they only guide placement.
 	noticeQueue = 256
+	// maxTold bounds how many instances one notice goes to; in a larger fleet it goes to as many by lot.
+	maxTold = 64
 	// noticeRetry is the pause after a datagram could not be received.
 	noticeRetry = 50 * time.Millisecond
 )
@@ -59,11 +62,13 @@
 		case <-ctx.Done():
 			return nil
 		case nt := <-no.queue:
-			data, err := record.Marshal(nt)
+			list := no.mesh.addresses()
+			told := sample(list, maxTold)
+			data, err := record.Marshal(nt.toSome(len(told), len(list)))
 			if err != nil {
 				return eris.Wrap(err, "encode a notice")
 			}
-			for _, at := range no.mesh.addresses() {
+			for _, at := range told {
 				// A peer that cannot be reached misses the notice, and places by what it knows otherwise.
 				_, _ = no.socket.WriteTo(data, at)
 			}
@@ -91,6 +96,26 @@
 	}
 }
 
+// toSome returns the notice for a part of all instances: each of them hears of fewer prompts, so each counts for more.
+func (nt Notice) toSome(told, all int) Notice {
+	if told > 0 && told < all {
+		nt.Unread = nt.Unread * int64(all) / int64(told)
+	}
+	return nt
+}
+
+// sample returns at most the given number of addresses by lot; it reorders the list.
+func sample(list []net.Addr, most int) []net.Addr {
+	if len(list) <= most {
+		return list
+	}
+	for ix := range most {
+		other := ix + rand.IntN(len(list)-ix)
+		list[ix], list[other] = list[other], list[ix]
+	}
+	return list[:most]
+}
+
 // addresses returns where the other instances receive notices.
 func (me *Mesh) addresses() []net.Addr {
 	me.mu.Lock()
--- a/internal/mesh/notice_test.go
+++ b/internal/mesh/notice_test.go
@@ -71,3 +71,37 @@
 		tt.Error(diff)
 	}
 }
+
+// TestNoticesToSome tells a part of a large fleet: as many instances as allowed, each once, and the prompt counts for more.
+func TestNoticesToSome(tt *testing.T) {
+	cases := []struct {
+		name string
+		all  int
+		told int
+		want int64
+	}{
+		{"a fleet of today", 30, 30, 1000},
+		{"as many as are told", maxTold, maxTold, 1000},
+		{"ten times as many", 10 * maxTold, maxTold, 10_000},
+		{"nobody", 0, 0, 1000},
+	}
+	for _, tc := range cases {
+		tt.Run(tc.name, func(tt *testing.T) {
+			var list []net.Addr
+			for port := range tc.all {
+				list = append(list, &net.UDPAddr{Port: port})
+			}
+			told := sample(list, maxTold)
+			seen := map[string]bool{}
+			for _, at := range told {
+				seen[at.String()] = true
+			}
+			if diff := cmp.Diff([]int{tc.told, tc.told}, []int{len(told), len(seen)}); diff != "" {
+				tt.Error(diff)
+			}
+			if diff := cmp.Diff(tc.want, Notice{Unread: 1000}.toSome(len(told), tc.all).Unread); diff != "" {
+				tt.Error(diff)
+			}
+		})
+	}
+}
