The allowance for sending again is divided among all instances, also those that only borrow; told prompts are bounded

Cause: found by reading. The allowance's headroom was divided by the number of instances with rows in one partition, at most some 13 of 31, so that all together could take 2.4 times their share of it (0.7 of the headroom): more than the rule allows, if every instance used its own up. A notice with an absurd figure kept an endpoint away for good; it is bounded.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -154,6 +154,12 @@
 	}
 }
 
+// fleetSize returns among how many instances what the fleet shares is divided: all that have announced themselves or hold grants, and one
+// that is not known yet. Those that only borrow write no rows, and those that died without a farewell still count.
+func (ed *Edge) fleetSize(now time.Duration) int {
+	return max(ed.purses.Instances(now), len(ed.mesh.Members())) + 1
+}
+
 // Ready reports whether callers should be sent here: an instance that merely lost the store stays ready.
 func (ed *Edge) Ready() bool {
 	return !ed.Draining() && ed.Plan() != nil && ed.directory.loaded.Load()
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -48,7 +48,7 @@
 	for ctx.Err() == nil {
 		delay := gr.step(ctx)
 		gr.edge.lender.returnSurplus(ctx, gr.purse)
-		gr.edge.allowance.SetInstances(gr.edge.purses.Instances(gr.edge.config.Clock()) + 1)
+		gr.edge.allowance.SetInstances(gr.edge.fleetSize(gr.edge.config.Clock()))
 		gr.await(ctx, delay)
 	}
 	return nil
--- a/pkg/place/told.go
+++ b/pkg/place/told.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// maxTold bounds what an endpoint is believed to have to read for other instances, in tokens: some seconds of its time.
+const maxTold = 500_000
+
 // Told notes that another instance has sent a prompt about a subject, with the given unread tokens, to an endpoint.
 //
 // It answers the load of many instances before the same endpoints: what an endpoint itself reports comes with an answer, and is as old as
@@ -14,7 +17,7 @@
 	if !ok || unread <= 0 {
 		return
 	}
-	st.told = float64(st.toldUnread(now)) + float64(unread)
+	st.told = min(maxTold, float64(st.toldUnread(now))+float64(min(unread, maxTold)))
 	st.toldAt = now
 }
 
--- a/pkg/place/told_test.go
+++ b/pkg/place/told_test.go
@@ -24,6 +24,7 @@
 		{"nothing was told", 0, time.Second, true},
 		{"a long prompt was sent just now", 60_000, time.Second, false},
 		{"it was read meanwhile", 60_000, 2500 * time.Millisecond, true},
+		{"an absurd figure is forgotten in seconds", 1 << 62, 12 * time.Second, true},
 	}
 	for _, tc := range cases {
 		tt.Run(tc.name, func(tt *testing.T) {
