Instances that vanish without a farewell are forgotten

Cause: found by reading. A member that was never heard of again stayed one for good: it kept its rank among the holders of teams, so that in a fleet whose machines are replaced under new names, in the end no live instance would hold a team's grants. Change: instances announce themselves every 20 s; who has missed three while others announced themselves is forgotten. TestLapsedMembers; one more write in 20 s for each instance.

--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/clementineweir/clementineweir/internal/mesh"
 	"github.com/clementineweir/clementineweir/pkg/keyed"
 	"github.com/clementineweir/clementineweir/pkg/purse"
 )
@@ -33,8 +34,9 @@
 	view    *keyed.View
 	contact contact
 	readAt  time.Duration
-	// announced is whether the topic names this instance.
-	announced bool
+	// announced is whether the topic names this instance, announcedAt when it last said so.
+	announced   bool
+	announcedAt time.Duration
 }
 
 func newGrants(ed *Edge, pu *purse.Purse, shard int) *grants {
@@ -72,7 +74,7 @@
 // step reads what others have appended, appends the own rows, and returns the delay until the next step.
 func (gr *grants) step(ctx context.Context) time.Duration {
 	cf := gr.edge.config
-	if now := cf.Clock(); gr.view.Loaded() && now-gr.readAt < gr.idleInterval() && !gr.purse.Due(now) && gr.announced {
+	if now := cf.Clock(); gr.view.Loaded() && now-gr.readAt < gr.idleInterval() && !gr.purse.Due(now) && !gr.mustAnnounce(now) {
 		return grantInterval
 	}
 	if err := gr.view.Advance(ctx, 0); err != nil {
@@ -96,7 +98,7 @@
 		list = append(list, crashes...)
 	}
 	if len(list) == 0 {
-		gr.announced = true
+		gr.noteAnnounced()
 		return grantInterval
 	}
 	err = gr.view.Append(ctx, list)
@@ -105,7 +107,7 @@
 	}
 	switch {
 	case err == nil:
-		gr.announced = true
+		gr.noteAnnounced()
 		gr.purse.Confirm(cf.Clock(), ba)
 		cf.Logger.Info("grants", "shard", gr.shard, "offset", gr.view.Next(), "rows", ba.Changes())
 		return grantInterval
@@ -144,6 +146,18 @@
 	return borrowerInterval
 }
 
+// mustAnnounce reports whether this instance should make itself known to its peers, at first or once more.
+func (gr *grants) mustAnnounce(now time.Duration) bool {
+	return !gr.announced || (gr.shard == 0 && now-gr.announcedAt >= mesh.AnnounceSpan)
+}
+
+func (gr *grants) noteAnnounced() {
+	now := gr.edge.config.Clock()
+	if gr.mustAnnounce(now) {
+		gr.announced, gr.announcedAt = true, now
+	}
+}
+
 // withAnnouncement adds the record that makes this instance known to its peers, or unknown when it leaves.
 func (gr *grants) withAnnouncement(list []keyed.Record) ([]keyed.Record, error) {
 	switch {
@@ -151,7 +165,7 @@
 		return list, nil
 	case gr.edge.Draining() && len(list) > 0:
 		return append(list, gr.edge.mesh.Farewell()), nil
-	case gr.announced:
+	case !gr.mustAnnounce(gr.edge.config.Clock()):
 		return list, nil
 	}
 	re, err := gr.edge.mesh.Announcement()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -26,6 +26,10 @@
 	callTimeout = 400 * time.Millisecond
 	// dialTimeout bounds a new connection to a peer.
 	dialTimeout = 200 * time.Millisecond
+	// AnnounceSpan is how often an instance announces itself again.
+	AnnounceSpan = 20 * time.Second
+	// lapseSpan is the time without an announcement after which an instance is forgotten: three were missed.
+	lapseSpan = 3*AnnounceSpan + AnnounceSpan/2
 	// idleTimeout closes connections that are not used.
 	idleTimeout = 30 * time.Second
 	// restTime is how long a peer that did not answer is left alone.
@@ -58,6 +62,8 @@
 	restUntil time.Duration
 	// notices is where the peer receives datagrams, or nil.
 	notices net.Addr
+	// seenAt is when its last announcement was read.
+	seenAt time.Duration
 }
 
 // Mesh calls the other instances; it is safe for concurrent use.
@@ -66,7 +72,6 @@
 	http   *http.Client
 	mu     sync.Mutex
 	peers  map[string]*peer
-	names  map[string]bool
 	// failedAt is when the store itself last failed for any topic, or zero.
 	failedAt atomic.Int64
 }
@@ -74,7 +79,7 @@
 // New returns a mesh that knows no peer.
 func New(config Config) *Mesh {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return &Mesh{config: config, peers: map[string]*peer{}, names: map[string]bool{config.Self.Name: true}, http: &http.Client{Transport: &http.Transport{
+	return &Mesh{config: config, peers: map[string]*peer{}, http: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 2, DisableCompression: true,
 	}}}
 }
@@ -100,14 +105,14 @@
 		var mb Member
 		if len(re.Value) == 0 || json.Unmarshal(re.Value, &mb) != nil || mb.Address == "" {
 			delete(me.peers, name)
-			delete(me.names, name)
 			continue
 		}
+		me.noteReturn()
 		if old, ok := me.peers[name]; ok && old.member == mb {
+			old.seenAt = me.config.Clock()
 			continue
 		}
-		me.names[name] = true
-		pe := &peer{member: mb, client: meshpb.NewMeshProtobufClient("http://"+mb.Address, me.http)}
+		pe := &peer{member: mb, seenAt: me.config.Clock(), client: meshpb.NewMeshProtobufClient("http://"+mb.Address, me.http)}
 		if at, err := netip.ParseAddrPort(mb.Address); err == nil {
 			pe.notices = net.UDPAddrFromAddrPort(at)
 		}
@@ -118,11 +123,50 @@
 // StoreReachable reports whether the store answered this instance itself at the last call.
 func (me *Mesh) StoreReachable() bool { return me.failedAt.Load() == 0 }
 
-// Members returns the names of all instances that have announced themselves, this one included, in ascending order.
+// Members returns the names of all instances that have announced themselves lately, this one included, in ascending order.
 func (me *Mesh) Members() []string {
 	me.mu.Lock()
 	defer me.mu.Unlock()
-	return slices.Sorted(maps.Keys(me.names))
+	me.dropLapsed()
+	return slices.Sorted(maps.Keys(me.names()))
+}
+
+func (me *Mesh) names() map[string]bool {
+	names := map[string]bool{me.config.Self.Name: true}
+	for name := range me.peers {
+		names[name] = true
+	}
+	return names
+}
+
+// newestSeen returns when any peer last announced itself.
+func (me *Mesh) newestSeen() time.Duration {
+	newest := time.Duration(0)
+	for _, pe := range me.peers {
+		newest = max(newest, pe.seenAt)
+	}
+	return newest
+}
+
+// noteReturn gives all peers time to announce themselves where nobody has done so for long: the store was away.
+func (me *Mesh) noteReturn() {
+	now := me.config.Clock()
+	if now-me.newestSeen() <= 2*AnnounceSpan {
+		return
+	}
+	for _, pe := range me.peers {
+		pe.seenAt = now
+	}
+}
+
+// dropLapsed forgets peers that have announced themselves no more while others did: they are gone without a farewell.
+func (me *Mesh) dropLapsed() {
+	newest := me.newestSeen()
+	for name, pe := range me.peers {
+		if newest-pe.seenAt > lapseSpan {
+			delete(me.peers, name)
+		}
+	}
 }
 
 // candidates returns at most the given number of peers to ask, in the given order or else those of the own failure domain first.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -98,3 +98,43 @@
 		tt.Error(diff)
 	}
 }
+
+// TestLapsedMembers lets an instance vanish without a farewell: it is forgotten once it has missed what others announced, and nobody is
+// while the store is away.
+func TestLapsedMembers(tt *testing.T) {
+	now := time.Second
+	me := New(Config{Self: Member{Name: "self"}, Clock: func() time.Duration { return now }})
+	announce := func(names ...string) {
+		for _, name := range names {
+			data, err := json.Marshal(Member{Name: name, Address: "127.0.0.1:1"})
+			if err != nil {
+				tt.Fatal(err)
+			}
+			me.Read([]keyed.Record{{Key: memberPrefix + name, Value: data}})
+		}
+	}
+	steps := []struct {
+		name string
+		do   func()
+		want []string
+	}{
+		{"three announce themselves", func() { announce("a", "b", "c") }, []string{"a", "b", "c", "self"}},
+		{"one says farewell", func() { me.Read([]keyed.Record{{Key: memberPrefix + "c"}}) }, []string{"a", "b", "self"}},
+		{"an hour without the store", func() { now += time.Hour }, []string{"a", "b", "self"}},
+		{"the first one announces itself after it", func() { announce("a") }, []string{"a", "b", "self"}},
+		{"so does the second", func() { now += AnnounceSpan; announce("b") }, []string{"a", "b", "self"}},
+		{"one is silent", func() {
+			for range 4 {
+				now += AnnounceSpan
+				announce("b")
+			}
+		}, []string{"b", "self"}},
+		{"it returns", func() { announce("a") }, []string{"a", "b", "self"}},
+	}
+	for _, st := range steps {
+		st.do()
+		if diff := cmp.Diff(st.want, me.Members()); diff != "" {
+			tt.Errorf("%s: %s", st.name, diff)
+		}
+	}
+}
