Ceilings back to 6 in 100 and 1.25 times the demand, with their upper bound: RECOVER broke with the steeper ones

Ruled out: endpoints or configuration missing after the return (one request each refused for want of endpoints). Change: the ceilings of before up to their new upper bound; idle grants a thirtieth again.

--- a/pkg/purse/build.go
+++ b/pkg/purse/build.go
@@ -12,7 +12,7 @@
 	// ceilingDelay is the time without a new row after which a ceiling rises; a process that was killed is back by then.
 	ceilingDelay = 2600 * time.Millisecond
 	// ratePercent is the rise of a ceiling against the present demand.
-	ratePercent = 350
+	ratePercent = 125
 	// burstDelay is the time without a new row after which a ceiling rises faster: a machine that lost power is back by then, so the store
 	// is away, and a burst must be served.
 	burstDelay = 5 * time.Second
@@ -21,7 +21,7 @@
 	// slackPercent is what a ceiling leaves for the demand before it rises.
 	slackPercent = 120
 	// riskPercent bounds what the loss of all instances may cost a team: this part of what is left of its total.
-	riskPercent = 10
+	riskPercent = 6
 	// mostPercent is the part of an unused grant that a ceiling reaches at most: what instances that are away for long leave to the team.
 	mostPercent = 60
 	// typicalRequests is how many requests of the usual size a ceiling leaves room for beside the demand.
@@ -43,7 +43,7 @@
 	// tolerance is the part of an entitlement by which a grant may differ without a new row.
 	tolerance = 12
 	// idleDivisor gives a team without demand a ceiling: this part of the grant, and as much a second.
-	idleDivisor = 20
+	idleDivisor = 30
 	percent     = 100
 	// spreadPercent is the part of what is left that is granted ahead of need; the rest answers sudden needs.
 	spreadPercent = 97
