--- a/internal/emul/world.go
+++ b/internal/emul/world.go
@@ -12,6 +12,14 @@
 // settleTime is how long requests may take after the last arrival.
 const settleTime = 15 * time.Second
 
+// The IDs of the parts of prompts: kinds count from one, subjects from firstSubjectPart with room for subjectsOfKind of each kind, and what
+// belongs to one request alone from firstOwnPart.
+const (
+	firstSubjectPart = 1_000_000_000
+	subjectsOfKind   = 1_000_000
+	firstOwnPart     = 1 << 40
+)
+
 // Config names what is played.
 type Config struct {
 	Scenario Scenario
@@ -29,13 +37,16 @@
 	byID     map[string]*runner
 	index    map[*runner]int
 	policy   policy
-	own      uint64
-	visits   []*visit
+	// own counts the parts that belong to one request alone.
+	own    uint64
+	visits []*visit
 }
 
 // visit is one request of a caller.
 type visit struct {
-	class   Class
+	class Class
+	// kind is the index of the class, subject what the request is about among those of its class.
+	kind    int
 	subject int
 	begun   time.Duration
 	// firstAt is when the first token came, or zero.
@@ -101,7 +112,7 @@
 	if wo.scenario.Hot.Class == cl.Name && wo.random.Float64() < wo.scenario.Hot.Share {
 		subject = 0
 	}
-	vi := &visit{class: cl, subject: ix*1_000_000 + subject, begun: wo.clock.now}
+	vi := &visit{class: cl, kind: ix, subject: subject, begun: wo.clock.now}
 	vi.prompt = cl.KindTokens + cl.SubjectTokens + 1 + int64(wo.random.ExpFloat64()*cl.OwnTokens)
 	wo.visits = append(wo.visits, vi)
 	wo.try(vi)
@@ -114,9 +125,9 @@
 	rq := place.Request{
 		Prompt: vi.prompt, Domain: domainName(at % wo.scenario.Domains), Left: cl.Patience, Rank: cl.Rank,
 		Parts: []place.Part{
-			{ID: uint64(vi.subject/1_000_000 + 1), Tokens: cl.KindTokens},
-			{ID: uint64(1_000_000_000 + vi.subject), Tokens: cl.SubjectTokens},
-			{ID: 1<<40 & ^wo.own | wo.own, Tokens: vi.prompt - cl.KindTokens - cl.SubjectTokens},
+			{ID: uint64(vi.kind + 1), Tokens: cl.KindTokens},
+			{ID: uint64(firstSubjectPart + vi.kind*subjectsOfKind + vi.subject), Tokens: cl.SubjectTokens},
+			{ID: firstOwnPart + wo.own, Tokens: vi.prompt - cl.KindTokens - cl.SubjectTokens},
 		},
 	}
 	ch := wo.policy.pick(at, rq)
--- a/pkg/place/reread.go
+++ b/pkg/place/reread.go
@@ -8,8 +8,8 @@
 const (
 	// rereadFactor weighs the time to read a shared part again, which delays all that run beside it, too.
 	rereadFactor = 4
-	// rereadPress is by how much of that factor the weight grows with each second that prompts wait even at the least busy endpoint.
-	rereadPress = 60
+	// rereadWaitFactor is by how much of that factor the weight grows with each second that prompts wait even at the least busy endpoint.
+	rereadWaitFactor = 60
 )
 
 // rereadPrice returns the weight of the time to read shared parts again.
@@ -25,7 +25,7 @@
 		least = min(least, st.unread+st.toldUnread(now))
 	}
 	wait := time.Duration(float64(least) / readRate * float64(time.Millisecond))
-	return rereadFactor * (1 + rereadPress*wait.Seconds())
+	return rereadFactor * (1 + rereadWaitFactor*wait.Seconds())
 }
 
 // rereadTime returns what reading shared parts again costs beyond the wait of the request itself.
