--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -128,14 +128,8 @@
 	me.mu.Lock()
 	defer me.mu.Unlock()
 	me.dropLapsed()
-	return slices.Sorted(maps.Keys(me.names()))
-}
-
-func (me *Mesh) names() map[string]bool {
-	names := map[string]bool{me.config.Self.Name: true}
-	for name := range me.peers {
-		names[name] = true
-	}
+	names := append(slices.Collect(maps.Keys(me.peers)), me.config.Self.Name)
+	slices.Sort(names)
 	return names
 }
 
