--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -98,7 +98,7 @@
 func New(cf Config) *Edge {
 	now := cf.Clock()
 	ed := &Edge{
-		config: cf, roster: roster.New(), balancer: place.NewBalancer(), metrics: gate.NewMetrics(), quarantine: newQuarantine(cf.Clock),
+		config: cf, roster: roster.New(), balancer: place.NewBalancer(), metrics: gate.NewMetrics(), quarantine: newQuarantine(cf.Clock, cf.Logger),
 		quotas:      quota.NewSet(grantShards, quota.Config{Instance: cf.Settings.Name, Incarnation: cf.Stamp().Wall.UnixNano()}, now, cf.Stamp),
 		retryBudget: retry.New(retryConfig(cf.Settings), now),
 	}
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/clementineweir/clementineweir/pkg/keyed"
 )
 
@@ -24,16 +26,17 @@
 // quarantine blocks requests that crash endpoints. For each hash of a request it counts the endpoints that requests with this hash
 // have crashed. Instances share their crash records through the first partition of the grant topic.
 type quarantine struct {
-	mu    sync.Mutex
-	clock func() time.Duration
+	mu     sync.Mutex
+	clock  func() time.Duration
+	logger logr.Logger
 	// crashes holds the time of each endpoint's last crash, by request hash and endpoint ID.
 	crashes map[uint64]map[string]time.Duration
 	// unsent holds the crash records that wait to be appended.
 	unsent []keyed.Record
 }
 
-func newQuarantine(clock func() time.Duration) *quarantine {
-	return &quarantine{clock: clock, crashes: map[uint64]map[string]time.Duration{}}
+func newQuarantine(clock func() time.Duration, logger logr.Logger) *quarantine {
+	return &quarantine{clock: clock, logger: logger, crashes: map[uint64]map[string]time.Duration{}}
 }
 
 // Blocked reports whether requests with this hash have crashed too many endpoints.
@@ -53,7 +56,7 @@
 func (qu *quarantine) RecordCrash(content uint64, endpoint string) {
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
-	if qu.addCrash(content, endpoint) && len(qu.unsent) < maxContents {
+	if qu.addCrash(content, endpoint, "own") && len(qu.unsent) < maxContents {
 		qu.unsent = append(qu.unsent, keyed.Record{Key: fmt.Sprintf("%s%016x/%s", crashPrefix, content, endpoint), Value: []byte{1}})
 	}
 }
@@ -62,11 +65,14 @@
 func (qu *quarantine) Clear(content uint64) {
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
-	delete(qu.crashes, content)
+	if count := len(qu.crashes[content]); count > 0 {
+		qu.logger.Info("crashes cleared", "content", fmt.Sprintf("%016x", content), "crashed", count)
+		delete(qu.crashes, content)
+	}
 }
 
-// addCrash records a crash and reports whether it is new; the caller holds the lock.
-func (qu *quarantine) addCrash(content uint64, endpoint string) bool {
+// addCrash records a crash and reports whether it is new; the caller holds the lock. source says for the log who observed the crash.
+func (qu *quarantine) addCrash(content uint64, endpoint, source string) bool {
 	if len(qu.crashes) >= maxContents {
 		clear(qu.crashes)
 	}
@@ -75,6 +81,11 @@
 	}
 	_, known := qu.crashes[content][endpoint]
 	qu.crashes[content][endpoint] = qu.clock()
+	if !known {
+		count := len(qu.crashes[content])
+		qu.logger.Info("crash recorded", "content", fmt.Sprintf("%016x", content), "endpoint", endpoint, "source", source, "crashed", count,
+			"blocked", count >= crashLimit)
+	}
 	return !known
 }
 
@@ -106,7 +117,7 @@
 		hash, endpoint, _ := strings.Cut(rest, "/")
 		var content uint64
 		if _, err := fmt.Sscanf(hash, "%x", &content); err == nil {
-			qu.addCrash(content, endpoint)
+			qu.addCrash(content, endpoint, "peer")
 		}
 	}
 }
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -11,7 +12,7 @@
 func TestGuard(tt *testing.T) {
 	now := time.Second
 	clock := func() time.Duration { return now }
-	first, second := newQuarantine(clock), newQuarantine(clock)
+	first, second := newQuarantine(clock, logr.Discard()), newQuarantine(clock, logr.Discard())
 	const content = 0xabcdef
 	steps := []struct {
 		name string
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +40,7 @@
 func (pr *proxyRequest) forward() error {
 	pr.contentHash = pr.hashContent()
 	if pr.gate.config.Quarantine.Blocked(pr.contentHash) {
+		pr.gate.config.Metrics.Counter("weir_quarantined_requests_total").Inc()
 		return fault.New(fault.Quarantined, fault.NotRun, "the request has crashed several endpoints").WithRetryAfter(quarantineRetryAfter)
 	}
 	if err := pr.reserve(); err != nil {
@@ -256,11 +260,29 @@
 	fw.verdict = fw.verdict.Max(fault.MayHaveRun)
 	pr.updateCost(fw.eventCount)
 	if !canceled {
-		pr.gate.config.Quarantine.RecordCrash(pr.contentHash, de.Endpoint.ID)
+		fw.recordCrash(de, err)
 	}
 	return place.Incomplete, err
 }
 
+// recordCrash records that the endpoint broke the connection when it began to respond, which may be a crash that the request caused.
+func (fw *forwarder) recordCrash(de place.Decision, err error) {
+	pr := fw.request
+	pr.gate.config.Metrics.Counter("weir_endpoint_crashes_total").Inc()
+	pr.gate.config.Logger.Info("endpoint crashed", "request", pr.info.ID, "team", pr.team, "endpoint", de.Endpoint.ID,
+		"content", fmt.Sprintf("%016x", pr.contentHash), "parts", partNames(pr.info.Parts), "events", fw.eventCount, "reason", err.Error())
+	pr.gate.config.Quarantine.RecordCrash(pr.contentHash, de.Endpoint.ID)
+}
+
+// partNames returns the IDs of the prompt parts for the log.
+func partNames(list []place.Part) string {
+	names := make([]string, 0, len(list))
+	for _, pa := range list {
+		names = append(names, strconv.FormatUint(pa.ID, 16))
+	}
+	return strings.Join(names, ",")
+}
+
 // stallTimeout returns how long an attempt waits for a response before the request is retried on another endpoint. It returns zero, which
 // means no such timeout, if the attempt is the last one allowed or the route is neither resumable nor idempotent.
 func (fw *forwarder) stallTimeout(de place.Decision) time.Duration {
--- a/internal/gate/response.go
+++ b/internal/gate/response.go
@@ -100,7 +100,7 @@
 		}
 		if err != nil {
 			if fw.eventCount <= maxCrashEvents && fw.ctx.Err() == nil && !fw.stalled.Load() {
-				pr.gate.config.Quarantine.RecordCrash(pr.contentHash, de.Endpoint.ID)
+				fw.recordCrash(de, err)
 			}
 			return fw.incomplete(fault.Wrap(err, fault.Upstream, fault.MayHaveRun, "the stream broke off"))
 		}
