--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -178,6 +178,8 @@
 	body   string
 	prompt int64
 	output int64
+	// parts are the hexadecimal IDs of the prompt's parts, or empty for those of stand.Call.
+	parts  []string
 	header map[string]string
 }
 
@@ -191,7 +193,7 @@
 		fl.tt.Fatal(err)
 	}
 	hr.Host = testHost
-	stand.Call{ID: rq.id, Key: rq.key, PatienceMs: 12_000, Prompt: rq.prompt, Output: rq.output}.Set(hr.Header)
+	stand.Call{ID: rq.id, Key: rq.key, PatienceMs: 12_000, Prompt: rq.prompt, Output: rq.output, Parts: rq.parts}.Set(hr.Header)
 	for name, val := range rq.header {
 		hr.Header.Set(name, val)
 	}
