Quarantine: block the part of the prompt that crashes endpoints, not only repeats of one request

Callers saw: one runner after the other crashed under requests of one kind, streams of others were cut with them, and a fifth of all requests was refused for want of runners.

Cause: crashes were counted by a hash of the whole request, so requests that share only the cause never added up. The class of fault is evidence that is kept under the identity of one request although the cause is a property that requests share.

Change: pkg/blame keeps the crashes by each part of the prompt and by content. A part is blocked after crashes of three processes by two different requests, two of them sent when a crash with it was known; an answer that begins refutes the evidence; parts that only ran beside the cause are explained by it; parts that always occur with it are blocked only together with it, until a request with one of them shows which it is. The block is looked up again before each attempt. Instances send crashes to their peers as notices and keep them as records in the grant topic; builds before this one discard the notices, and their records still count.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -98,7 +98,7 @@
 func New(cf Config) *Edge {
 	now := cf.Clock()
 	ed := &Edge{
-		config: cf, roster: roster.New(), balancer: place.NewBalancer(), metrics: gate.NewMetrics(), quarantine: newQuarantine(cf.Clock, cf.Logger),
+		config: cf, roster: roster.New(), balancer: place.NewBalancer(), metrics: gate.NewMetrics(),
 		quotas:      quota.NewSet(grantShards, quota.Config{Instance: cf.Settings.Name, Incarnation: cf.Stamp().Wall.UnixNano()}, now, cf.Stamp),
 		retryBudget: retry.New(retryConfig(cf.Settings), now),
 	}
@@ -116,6 +116,9 @@
 		name := shardName(cf.Platform.Grants, part)
 		ed.topics[name] = ed.mesh.Topic(name, cf.Platform.Topic(cf.Platform.Grants, part))
 	}
+	ed.quarantine = newQuarantine(quarantineConfig{
+		Clock: cf.Clock, Wall: func() time.Time { return cf.Stamp().Wall }, Notify: ed.notifyCrash, Logger: cf.Logger,
+	})
 	ed.transfers = &transfers{edge: ed, shortfallAt: map[string]time.Duration{}}
 	ed.configWatcher = newConfigWatcher(ed)
 	ed.endpointWatcher = newEndpointWatcher(ed)
@@ -149,11 +152,22 @@
 // StoreReachable reports whether the last direct call to the store, for any topic, reached it.
 func (ed *Edge) StoreReachable() bool { return ed.mesh.StoreReachable() }
 
-// onNotice records a prompt that another instance has sent to an endpoint.
+// onNotice records a prompt that another instance has sent to an endpoint, or a crash that it observed.
 func (ed *Edge) onNotice(nt mesh.Notice) {
+	if nt.Crash != nil {
+		ed.quarantine.applyNotice(*nt.Crash)
+		return
+	}
 	ed.balancer.RecordPeerDispatch(ed.config.Clock(), nt.Endpoint, nt.PrefixID, nt.UncachedTokens)
 }
 
+// notifyCrash notifies the peers of a crash. A peer that misses the notice reads the record in the store.
+func (ed *Edge) notifyCrash(nt mesh.CrashNotice) {
+	if !ed.notifier.Send(mesh.Notice{Crash: &nt}) {
+		ed.metrics.Counter("weir_notices_dropped_total").Inc()
+	}
+}
+
 // NotifyDispatch notifies the peers of a prompt sent to an endpoint if its uncached tokens are at least minNoticeTokens.
 func (ed *Edge) NotifyDispatch(endpoint string, prefixID uint64, tokens int64) {
 	if tokens >= minNoticeTokens && !ed.notifier.Send(mesh.Notice{Endpoint: endpoint, PrefixID: prefixID, UncachedTokens: tokens}) {
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -2,102 +2,157 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"github.com/clementineweir/clementineweir/internal/gate"
+	"github.com/clementineweir/clementineweir/internal/mesh"
+	"github.com/clementineweir/clementineweir/pkg/blame"
 	"github.com/clementineweir/clementineweir/pkg/keyed"
+	"github.com/clementineweir/clementineweir/pkg/record"
+	"github.com/clementineweir/clementineweir/pkg/roster"
 )
 
 const (
-	// crashPrefix is the prefix of the keys of crash records.
+	// crashPrefix is the prefix of the keys of crash records. The key continues with the hash of the trait and the process of the endpoint.
 	crashPrefix = "crash/"
-	// crashLimit is the number of endpoints that requests with the same hash must have crashed to be blocked.
-	crashLimit = 3
-	// crashSpan is how long a crash counts.
-	crashSpan = 60 * time.Second
-	// maxContents is the maximum number of request hashes with recorded crashes, and also the maximum number of crash records that wait to be
-	// appended.
-	maxContents = 4096
+	// maxUnsent bounds the crash records that wait to be appended.
+	maxUnsent = 4096
+	// maxRecordAge is the age from which a crash record is deleted, by the instance that wrote it or by any that reads it at its start.
+	maxRecordAge = time.Hour
+	// expireInterval is the interval at which an instance searches its records for old ones.
+	expireInterval = time.Minute
 )
 
-// quarantine blocks requests that crash endpoints. For each hash of a request it counts the endpoints that requests with this hash
-// have crashed. Instances share their crash records through the first partition of the grant topic.
+// crashRow is the value of a crash record. The value of older builds is not a map; their keys hold the hash of a whole request.
+type crashRow struct {
+	// Content is the hash of the whole request.
+	Content uint64 `cbor:"1,keyasint"`
+	// Repeated reports whether the request was sent when an earlier crash with the trait was known.
+	Repeated bool `cbor:"2,keyasint,omitempty"`
+	// Wall is the wall-clock time of the crash in Unix milliseconds.
+	Wall int64 `cbor:"3,keyasint"`
+}
+
+// quarantine blocks requests that crash endpoints; it is safe for concurrent use. Instances share their crash records through the first
+// partition of the grant topic, and send them to their peers directly, which is faster and also works while the store is unreachable.
 type quarantine struct {
-	mu     sync.Mutex
-	clock  func() time.Duration
-	logger logr.Logger
-	// crashes holds the time of each endpoint's last crash, by request hash and endpoint ID.
-	crashes map[uint64]map[string]time.Duration
-	// unsent holds the crash records that wait to be appended.
+	config  quarantineConfig
+	mu      sync.Mutex
+	tracker *blame.Tracker
+	// own holds the keys of the records that this instance queued or appended, with the times. It deletes them when an answer refutes them or
+	// after maxRecordAge.
+	own map[string]time.Duration
+	// expiredAt is the time when own was last searched for old records.
+	expiredAt time.Duration
+	// blocks describes the blocked parts as they were last logged.
+	blocks string
+	// unsent holds the crash records and deletions that wait to be appended.
 	unsent []keyed.Record
 }
 
-func newQuarantine(clock func() time.Duration, logger logr.Logger) *quarantine {
-	return &quarantine{clock: clock, logger: logger, crashes: map[uint64]map[string]time.Duration{}}
+// quarantineConfig holds the dependencies of a quarantine.
+type quarantineConfig struct {
+	// Clock returns the monotonic time since the process started.
+	Clock func() time.Duration
+	// Wall returns the wall-clock time.
+	Wall func() time.Time
+	// Notify sends a crash to the peers and never blocks.
+	Notify func(nt mesh.CrashNotice)
+	Logger logr.Logger
+}
+
+func newQuarantine(cf quarantineConfig) *quarantine {
+	return &quarantine{config: cf, tracker: blame.New(), own: map[string]time.Duration{}}
 }
 
-// Blocked reports whether requests with this hash have crashed too many endpoints.
-func (qu *quarantine) Blocked(content uint64) bool {
+// Blocked reports whether the request is expected to crash endpoints, and for how long it stays blocked.
+func (qu *quarantine) Blocked(rq blame.Request) (time.Duration, bool) {
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
-	recent := 0
-	for _, at := range qu.crashes[content] {
-		if qu.clock()-at < crashSpan {
-			recent++
-		}
-	}
-	return recent >= crashLimit
+	now := qu.config.Clock()
+	until, ok := qu.tracker.Blocked(now, rq)
+	return until - now, ok
 }
 
-// RecordCrash records that an endpoint crashed while it ran a request with this hash.
-func (qu *quarantine) RecordCrash(content uint64, endpoint string) {
+// RecordCrash records that an endpoint crashed when it began to answer the request, and shares the observation.
+func (qu *quarantine) RecordCrash(rq blame.Request, sentAt time.Duration, en *roster.Endpoint) {
+	process := processName(en)
 	qu.mu.Lock()
-	defer qu.mu.Unlock()
-	if qu.addCrash(content, endpoint, "own") && len(qu.unsent) < maxContents {
-		qu.unsent = append(qu.unsent, keyed.Record{Key: fmt.Sprintf("%s%016x/%s", crashPrefix, content, endpoint), Value: []byte{1}})
+	list := qu.tracker.RecordCrash(qu.config.Clock(), sentAt, rq, process)
+	for _, cr := range list {
+		qu.logCrash(cr, "own")
+		qu.queueCrash(cr)
+	}
+	qu.logBlocks()
+	qu.mu.Unlock()
+	if len(list) > 0 {
+		qu.config.Notify(noticeOf(list))
 	}
 }
 
-// Clear removes the recorded crashes of requests with this hash. It is called after an endpoint completed such a request.
-func (qu *quarantine) Clear(content uint64) {
+// RecordAnswer records that an endpoint began to answer the request without crashing, and withdraws the crash records that this refutes.
+func (qu *quarantine) RecordAnswer(rq blame.Request) {
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
-	if count := len(qu.crashes[content]); count > 0 {
-		qu.logger.Info("crashes cleared", "content", fmt.Sprintf("%016x", content), "crashed", count)
-		delete(qu.crashes, content)
+	for _, cr := range qu.tracker.RecordAnswer(qu.config.Clock(), rq) {
+		qu.config.Logger.Info("crash refuted", "trait", traitName(cr.Trait), "process", cr.Process)
+		qu.withdraw(crashKey(cr))
 	}
+	qu.logBlocks()
 }
 
-// addCrash records a crash and reports whether it is new; the caller holds the lock. source says for the log who observed the crash.
-func (qu *quarantine) addCrash(content uint64, endpoint, source string) bool {
-	if len(qu.crashes) >= maxContents {
-		clear(qu.crashes)
+// queueCrash queues the record of a crash; the caller holds the lock.
+func (qu *quarantine) queueCrash(cr blame.Crash) {
+	if len(qu.unsent) >= maxUnsent || len(qu.own) >= maxUnsent {
+		return
 	}
-	if qu.crashes[content] == nil {
-		qu.crashes[content] = map[string]time.Duration{}
+	data, err := record.Marshal(crashRow{Content: cr.Content, Repeated: cr.Repeated, Wall: qu.config.Wall().UnixMilli()})
+	if err != nil {
+		qu.config.Logger.Error(err, "cannot encode a crash record", "trait", traitName(cr.Trait))
+		return
 	}
-	_, known := qu.crashes[content][endpoint]
-	qu.crashes[content][endpoint] = qu.clock()
-	if !known {
-		count := len(qu.crashes[content])
-		qu.logger.Info("crash recorded", "content", fmt.Sprintf("%016x", content), "endpoint", endpoint, "source", source, "crashed", count,
-			"blocked", count >= crashLimit)
+	key := crashKey(cr)
+	qu.own[key] = qu.config.Clock()
+	qu.unsent = append(qu.unsent, keyed.Record{Key: key, Value: data})
+}
+
+// withdraw queues the deletion of a record that this instance wrote; the caller holds the lock.
+func (qu *quarantine) withdraw(key string) {
+	if _, ok := qu.own[key]; ok && len(qu.unsent) < maxUnsent {
+		delete(qu.own, key)
+		qu.unsent = append(qu.unsent, keyed.Record{Key: key})
 	}
-	return !known
 }
 
-// takeUnsent returns the crash records to append and removes them from the queue.
+// takeUnsent returns the records to append and removes them from the queue.
 func (qu *quarantine) takeUnsent() []keyed.Record {
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
+	qu.expire()
 	list := qu.unsent
 	qu.unsent = nil
 	return list
 }
 
+// expire withdraws old records of this instance; the caller holds the lock.
+func (qu *quarantine) expire() {
+	now := qu.config.Clock()
+	if now-qu.expiredAt < expireInterval {
+		return
+	}
+	qu.expiredAt = now
+	for key, at := range qu.own {
+		if now-at >= maxRecordAge {
+			qu.withdraw(key)
+		}
+	}
+}
+
 // putBack returns records to the queue after their append failed.
 func (qu *quarantine) putBack(list []keyed.Record) {
 	qu.mu.Lock()
@@ -105,19 +160,105 @@
 	qu.unsent = append(list, qu.unsent...)
 }
 
-// applyRecords applies the crash records of other instances.
+// applyRecords applies crash records and their deletions. Records that this instance just appended are among them and change nothing.
 func (qu *quarantine) applyRecords(list []keyed.Record) {
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
+	defer qu.logBlocks()
+	now := qu.config.Clock()
 	for _, re := range list {
-		rest, ok := strings.CutPrefix(re.Key, crashPrefix)
-		if !ok || len(re.Value) == 0 {
+		trait, process, ok := cutCrashKey(re.Key)
+		if !ok {
 			continue
 		}
-		hash, endpoint, _ := strings.Cut(rest, "/")
-		var content uint64
-		if _, err := fmt.Sscanf(hash, "%x", &content); err == nil {
-			qu.addCrash(content, endpoint, "peer")
+		if len(re.Value) == 0 {
+			qu.tracker.Forget(now, trait, process)
+			continue
+		}
+		row := crashRow{Content: trait}
+		age := time.Duration(0)
+		if err := record.Unmarshal(re.Value, &row); err != nil {
+			// The record of an older build states no more than its key.
+			row = crashRow{Content: trait}
+		} else {
+			age = qu.config.Wall().Sub(time.UnixMilli(row.Wall))
 		}
+		if age >= maxRecordAge {
+			qu.own[re.Key] = now
+			qu.withdraw(re.Key)
+			continue
+		}
+		qu.learn(now, age, blame.Crash{Trait: trait, Content: row.Content, Process: process, Repeated: row.Repeated}, "store")
 	}
 }
+
+// applyNotice applies the crash that a peer observed.
+func (qu *quarantine) applyNotice(nt mesh.CrashNotice) {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	now := qu.config.Clock()
+	for _, tr := range nt.Traits {
+		qu.learn(now, 0, blame.Crash{Trait: tr.Hash, Content: nt.Content, Process: nt.Process, Repeated: tr.Repeated}, "peer")
+	}
+	qu.logBlocks()
+}
+
+// learn records a crash that another instance observed; the caller holds the lock.
+func (qu *quarantine) learn(now, age time.Duration, cr blame.Crash, source string) {
+	if qu.tracker.Learn(now, age, cr) {
+		qu.logCrash(cr, source)
+	}
+}
+
+// logCrash writes the log line of a new crash; the caller holds the lock.
+func (qu *quarantine) logCrash(cr blame.Crash, source string) {
+	qu.config.Logger.Info("crash recorded", "trait", traitName(cr.Trait), "content", traitName(cr.Content), "process", cr.Process,
+		"repeated", cr.Repeated, "source", source, "crashed", qu.tracker.Crashes(cr.Trait))
+}
+
+// logBlocks writes a log line if the blocked parts have changed; the caller holds the lock.
+func (qu *quarantine) logBlocks() {
+	list := qu.tracker.Blocks(qu.config.Clock())
+	if len(list) == 0 && qu.blocks == "" {
+		return
+	}
+	names := make([]string, 0, len(list))
+	for _, parts := range list {
+		names = append(names, fmt.Sprintf("%x", parts))
+	}
+	if text := strings.Join(names, " "); text != qu.blocks {
+		qu.blocks = text
+		qu.config.Logger.Info("quarantine", "blocked", names)
+	}
+}
+
+// processName identifies a process of an endpoint, since a restarted one may keep its ID.
+func processName(en *roster.Endpoint) string {
+	return en.ID + "@" + strconv.FormatInt(en.StartedMillis, 36)
+}
+
+func traitName(hash uint64) string { return fmt.Sprintf("%016x", hash) }
+
+func crashKey(cr blame.Crash) string { return crashPrefix + traitName(cr.Trait) + "/" + cr.Process }
+
+// cutCrashKey returns the trait and the process of a crash record, and false for the keys of other records.
+func cutCrashKey(key string) (trait uint64, process string, ok bool) {
+	rest, ok := strings.CutPrefix(key, crashPrefix)
+	if !ok {
+		return 0, "", false
+	}
+	hash, process, ok := strings.Cut(rest, "/")
+	trait, err := strconv.ParseUint(hash, 16, 64)
+	return trait, process, ok && err == nil
+}
+
+// noticeOf returns the notice of the crash of one process.
+func noticeOf(list []blame.Crash) mesh.CrashNotice {
+	nt := mesh.CrashNotice{Content: list[0].Content, Process: list[0].Process}
+	for _, cr := range list {
+		nt.Traits = append(nt.Traits, mesh.CrashTrait{Hash: cr.Trait, Repeated: cr.Repeated})
+	}
+	return nt
+}
+
+var _ gate.Quarantine = (*quarantine)(nil)
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -25,6 +26,8 @@
 	// copyTokens is the number of prompt tokens that the endpoint was asked to copy from the endpoint copySource.
 	copyTokens int64
 	copySource string
+	// quarantined reports whether the request was refused because it is expected to crash endpoints.
+	quarantined bool
 }
 
 func (le *logEntry) recordDecision(de place.Decision) {
@@ -139,6 +142,9 @@
 	}
 	if reason != "" {
 		args = append(args, "reason", reason)
+		if pr.entry.quarantined {
+			args = append(args, "content", fmt.Sprintf("%016x", pr.traits.Content), "parts", partNames(pr.info.Parts))
+		}
 		args = append(args, pr.balanceFields()...)
 	}
 	pr.gate.config.Logger.Info("request", append(args, more...)...)
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/clementineweir/clementineweir/internal/conns"
+	"github.com/clementineweir/clementineweir/pkg/blame"
 	"github.com/clementineweir/clementineweir/pkg/fault"
 	"github.com/clementineweir/clementineweir/pkg/place"
 	"github.com/clementineweir/clementineweir/pkg/plan"
@@ -38,10 +39,9 @@
 
 // forward reserves tokens and sends the request to one endpoint after another until a response is relayed or no further attempt is allowed.
 func (pr *proxyRequest) forward() error {
-	pr.contentHash = pr.hashContent()
-	if pr.gate.config.Quarantine.Blocked(pr.contentHash) {
-		pr.gate.config.Metrics.Counter("weir_quarantined_requests_total").Inc()
-		return fault.New(fault.Quarantined, fault.NotRun, "the request has crashed several endpoints").WithRetryAfter(quarantineRetryAfter)
+	pr.traits = pr.findTraits()
+	if err := pr.checkQuarantine(); err != nil {
+		return err
 	}
 	if err := pr.reserve(); err != nil {
 		return err
@@ -54,8 +54,26 @@
 	return fw.run()
 }
 
-// quarantineRetryAfter is the Retry-After delay for a quarantined request.
-const quarantineRetryAfter = 5 * time.Second
+// checkQuarantine returns an error if the request is expected to crash endpoints.
+func (pr *proxyRequest) checkQuarantine() error {
+	left, blocked := pr.gate.config.Quarantine.Blocked(pr.traits)
+	if !blocked {
+		return nil
+	}
+	pr.entry.quarantined = true
+	pr.gate.config.Metrics.Counter("weir_quarantined_requests_total").Inc()
+	return fault.New(fault.Quarantined, fault.NotRun, "requests like this one have crashed several endpoints").WithRetryAfter(left)
+}
+
+// findTraits returns the properties that the request may share with others. The last part of the prompt belongs to the request alone and is
+// left out.
+func (pr *proxyRequest) findTraits() blame.Request {
+	rq := blame.Request{Content: pr.hashContent()}
+	for ix := 0; ix+1 < len(pr.info.Parts); ix++ {
+		rq.Parts = append(rq.Parts, pr.info.Parts[ix].ID)
+	}
+	return rq
+}
 
 // hashContent returns the hash that identifies equal requests of one team: it covers the method, the target, the team key and the body.
 func (pr *proxyRequest) hashContent() uint64 {
@@ -85,6 +103,8 @@
 	eventCount int64
 	// headerSent reports whether the caller has received the response header.
 	headerSent bool
+	// sentAt is the time when the last attempt began.
+	sentAt time.Duration
 	// stalled reports whether an attempt was canceled because the endpoint sent nothing within the timeout.
 	stalled atomic.Bool
 }
@@ -103,6 +123,9 @@
 		if !fw.mayRetry(err) {
 			return fw.conclude(err)
 		}
+		if blocked := fw.request.checkQuarantine(); blocked != nil {
+			return fw.conclude(blocked)
+		}
 		fw.request.logRetry(de, err)
 	}
 }
@@ -197,6 +220,7 @@
 	at := cf.Board.Begin(pr.now(), pr.service, rq, de)
 	cf.Notifier.NotifyDispatch(de.Endpoint.ID, rq.PrefixID(), de.UncachedTokens)
 	fw.tried = append(fw.tried, de.Endpoint.ID)
+	fw.sentAt = pr.now()
 	pr.entry.recordAttempt(de)
 	out, err := fw.exchange(de, at)
 	at.End(pr.now(), out)
@@ -209,6 +233,7 @@
 	cf := pr.gate.config
 	ctx, cancel := context.WithCancel(fw.ctx)
 	defer cancel()
+	fw.stalled.Store(false)
 	timeout := fw.stallTimeout(de)
 	var stallTimer *time.Timer
 	if timeout > 0 {
@@ -242,7 +267,7 @@
 	if pr.route.Stream && ex.Response.StatusCode < 300 && ri.Genuine {
 		return fw.relayStream(ex, de, at, stallTimer)
 	}
-	return fw.relayComplete(ex, ri)
+	return fw.relayComplete(ex, de, ri)
 }
 
 // classifyFailure returns the outcome of an attempt without a response. canceled is true if this instance itself closed the connection.
@@ -265,13 +290,17 @@
 	return place.Incomplete, err
 }
 
-// recordCrash records that the endpoint broke the connection when it began to respond, which may be a crash that the request caused.
+// recordCrash is called when the endpoint broke the connection although this instance did not cancel the attempt. Unless the stream had
+// begun, the endpoint may have crashed because of the request.
 func (fw *forwarder) recordCrash(de place.Decision, err error) {
 	pr := fw.request
+	if fw.eventCount > maxCrashEvents {
+		return
+	}
 	pr.gate.config.Metrics.Counter("weir_endpoint_crashes_total").Inc()
 	pr.gate.config.Logger.Info("endpoint crashed", "request", pr.info.ID, "team", pr.team, "endpoint", de.Endpoint.ID,
-		"content", fmt.Sprintf("%016x", pr.contentHash), "parts", partNames(pr.info.Parts), "events", fw.eventCount, "reason", err.Error())
-	pr.gate.config.Quarantine.RecordCrash(pr.contentHash, de.Endpoint.ID)
+		"content", fmt.Sprintf("%016x", pr.traits.Content), "parts", partNames(pr.info.Parts), "events", fw.eventCount, "reason", err.Error())
+	pr.gate.config.Quarantine.RecordCrash(pr.traits, fw.sentAt, de.Endpoint)
 }
 
 // partNames returns the IDs of the prompt parts for the log.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/clementineweir/clementineweir/internal/conns"
+	"github.com/clementineweir/clementineweir/pkg/blame"
 	"github.com/clementineweir/clementineweir/pkg/fault"
 	"github.com/clementineweir/clementineweir/pkg/place"
 	"github.com/clementineweir/clementineweir/pkg/plan"
@@ -45,15 +46,14 @@
 	TimeToStop() (time.Duration, bool)
 }
 
-// Quarantine blocks requests that crash endpoints. The argument content of its methods is a hash of the request (see hashContent); equal
-// requests of a team have the same hash.
+// Quarantine blocks requests that crash endpoints.
 type Quarantine interface {
-	// Blocked reports whether requests with this hash have crashed too many endpoints.
-	Blocked(content uint64) bool
-	// RecordCrash records that an endpoint crashed while it ran a request with this hash.
-	RecordCrash(content uint64, endpoint string)
-	// Clear removes the recorded crashes of requests with this hash. It is called after an endpoint completed such a request.
-	Clear(content uint64)
+	// Blocked reports whether the request is expected to crash endpoints, and for how long it stays blocked.
+	Blocked(rq blame.Request) (time.Duration, bool)
+	// RecordCrash records that an endpoint crashed when it began to answer the request, which was sent at sentAt.
+	RecordCrash(rq blame.Request, sentAt time.Duration, en *roster.Endpoint)
+	// RecordAnswer records that an endpoint began to answer the request without crashing.
+	RecordAnswer(rq blame.Request)
 }
 
 // Borrower borrows tokens from other instances.
@@ -135,8 +135,8 @@
 	// limited reports whether the team has a limited prepaid total.
 	limited bool
 	body    []byte
-	// contentHash is the hash of the request (see hashContent). The quarantine counts endpoint crashes by this hash.
-	contentHash uint64
+	// traits are the properties by which the quarantine recognizes requests that crash endpoints.
+	traits blame.Request
 	// deadline is the deadline of the response, on the clock of the instance.
 	deadline time.Duration
 	// reserved is the number of tokens reserved for the request, or zero once they are settled.
--- a/internal/gate/response.go
+++ b/internal/gate/response.go
@@ -52,12 +52,15 @@
 }
 
 // relayComplete reads the complete response of the endpoint and then relays it to the caller.
-func (fw *forwarder) relayComplete(ex *conns.Exchange, ri ResponseInfo) (place.Outcome, error) {
+func (fw *forwarder) relayComplete(ex *conns.Exchange, de place.Decision, ri ResponseInfo) (place.Outcome, error) {
 	pr := fw.request
 	pr.updateCost(fw.eventCount)
 	data, err := io.ReadAll(io.LimitReader(ex.Response.Body, maxResponseBytes+1))
 	switch {
 	case err != nil:
+		if fw.ctx.Err() == nil && !fw.stalled.Load() {
+			fw.recordCrash(de, err)
+		}
 		return fw.incomplete(fault.Wrap(err, fault.Upstream, fault.MayHaveRun, "the endpoint's response is truncated"))
 	case len(data) > maxResponseBytes:
 		return place.Failed, fault.New(fault.Upstream, fault.Ran, "the endpoint's response is too large")
@@ -73,7 +76,9 @@
 	if fw.headerSent {
 		return place.Failed, fault.New(fault.Upstream, fault.Ran, "the endpoint did not resume the stream")
 	}
-	pr.gate.config.Quarantine.Clear(pr.contentHash)
+	if rs.status < http.StatusMultipleChoices {
+		pr.gate.config.Quarantine.RecordAnswer(pr.traits)
+	}
 	pr.entry.firstEventAt = pr.now()
 	return place.Answered, rs.write(pr.writer)
 }
@@ -99,7 +104,7 @@
 			return fw.endStream(ex)
 		}
 		if err != nil {
-			if fw.eventCount <= maxCrashEvents && fw.ctx.Err() == nil && !fw.stalled.Load() {
+			if fw.ctx.Err() == nil && !fw.stalled.Load() {
 				fw.recordCrash(de, err)
 			}
 			return fw.incomplete(fault.Wrap(err, fault.Upstream, fault.MayHaveRun, "the stream broke off"))
@@ -129,7 +134,7 @@
 	if !fw.headerSent {
 		fw.sendHeader(ex)
 	}
-	pr.gate.config.Quarantine.Clear(pr.contentHash)
+	pr.gate.config.Quarantine.RecordAnswer(pr.traits)
 	return place.Answered, nil
 }
 
@@ -163,6 +168,9 @@
 		fw.sendHeader(ex)
 	}
 	fw.eventCount++
+	if fw.eventCount == maxCrashEvents+1 {
+		pr.gate.config.Quarantine.RecordAnswer(pr.traits)
+	}
 	pr.updateCost(fw.eventCount)
 	if _, err := pr.writer.Write(data); err != nil {
 		return err
--- a/internal/mesh/notifier.go
+++ b/internal/mesh/notifier.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// maxNoticeBytes bounds a received datagram.
-	maxNoticeBytes = 512
+	// maxNoticeBytes bounds a received datagram. It fits the notice of a crash of a request with 64 parts.
+	maxNoticeBytes = 2048
 	// noticeQueue bounds the notices that wait to be sent; further ones are dropped, since they only improve the choice of endpoints.
 	noticeQueue = 256
 	// maxNotified bounds the instances that get one notice; in a larger fleet they are chosen at random.
@@ -31,6 +31,26 @@
 	UncachedTokens int64 `cbor:"2,keyasint"`
 	// PrefixID identifies the longest prefix of the prompt that other requests share, or is zero.
 	PrefixID uint64 `cbor:"3,keyasint,omitempty"`
+	// Crash is set instead of the other fields if the notice is of a crash; builds that do not know it discard the notice.
+	Crash *CrashNotice `cbor:"4,keyasint,omitempty"`
+}
+
+// CrashNotice is the message by which an instance notifies others that a process of an endpoint crashed when it began to answer a request.
+type CrashNotice struct {
+	// Process identifies the process of the endpoint.
+	Process string `cbor:"1,keyasint"`
+	// Content is the hash of the whole request.
+	Content uint64 `cbor:"2,keyasint"`
+	// Traits are the properties of the request that may be the cause.
+	Traits []CrashTrait `cbor:"3,keyasint"`
+}
+
+// CrashTrait is one property of a request that crashed a process.
+type CrashTrait struct {
+	// Hash identifies the part of the request, or the whole request.
+	Hash uint64 `cbor:"1,keyasint"`
+	// Repeated reports whether the request was sent when an earlier crash with the trait was known.
+	Repeated bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Notifier sends and receives notices as datagrams; lost notices are not resent.
