Failing test: requests that share one message crash one model runner after the other

The same cause looked for elsewhere: the completion API, too, counts crashes by a hash of the whole request.

--- a/internal/fakes/runner.go
+++ b/internal/fakes/runner.go
@@ -106,6 +106,8 @@
 	cache   *blockCache
 	// downUntil is the end of the restart after the last crash.
 	downUntil time.Time
+	// crashes is the number of crashes.
+	crashes int
 	// loadSamples are the loads at past calls, the oldest first; handleLoad returns the first.
 	loadSamples []loadSample
 	probe       RunProbe
@@ -154,6 +156,7 @@
 func (ru *Runner) Crash() {
 	ru.mu.Lock()
 	defer ru.mu.Unlock()
+	ru.crashes++
 	ru.downUntil = time.Now().Add(ru.config.RestartAfter)
 	for _, ge := range ru.runs {
 		ge.abort()
@@ -162,6 +165,13 @@
 	ru.cache.clear()
 }
 
+// Crashes returns the number of crashes.
+func (ru *Runner) Crashes() int {
+	ru.mu.Lock()
+	defer ru.mu.Unlock()
+	return ru.crashes
+}
+
 // Runs returns all accepted requests in order of arrival.
 func (ru *Runner) Runs() []RunRecord {
 	ru.mu.Lock()
--- a/internal/matrix/world_test.go
+++ b/internal/matrix/world_test.go
@@ -241,6 +241,8 @@
 	service bool
 	stream  bool
 	prompt  string
+	// context holds the messages before the prompt.
+	context []string
 }
 
 // response is what a caller received for one attempt: a response, an error, or the start of a response and an error.
@@ -272,8 +274,12 @@
 func (wo *world) exchange(ctx context.Context, index int, ca call) response {
 	se := wo.settings(index)
 	path := "/v1/chat/completions"
+	var messages []any
+	for _, text := range ca.context {
+		messages = append(messages, map[string]string{"role": "system", "content": text})
+	}
 	body, _ := json.Marshal(map[string]any{
-		"model": fakes.ExampleModel, "stream": ca.stream, "messages": []any{map[string]string{"role": "user", "content": ca.prompt}},
+		"model": fakes.ExampleModel, "stream": ca.stream, "messages": append(messages, map[string]string{"role": "user", "content": ca.prompt}),
 	})
 	if ca.service {
 		path = "/v1/services/payments/pay"
