Engine: quarantine the message that crashes model runners, not only repeats of one request

The messages of a chat, and the paragraphs of a prompt without messages, are now the parts that pkg/blame counts by.

--- a/internal/caller/completion.go
+++ b/internal/caller/completion.go
@@ -4,7 +4,9 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
 	"github.com/labstack/echo/v4"
@@ -165,6 +167,7 @@
 	rq.Model = cb.Model
 	rq.Stream = cb.Stream
 	rq.Prompt = rq.Body
+	rq.Parts = cb.parts()
 	// A token encodes at least one byte, so the length of the body is an upper bound.
 	rq.MaxPromptTokens = int64(len(rq.Body)) + maxTemplateTokens
 	rq.Choices = max(valueOf(cb.Choices), valueOf(cb.BestOf), 1)
@@ -172,6 +175,35 @@
 	rq.AddUsageOption = cb.Stream && cb.StreamOptions == nil
 }
 
+// maxParts is the maximum number of messages or paragraphs that are hashed as parts of a prompt.
+const maxParts = 64
+
+// parts returns the hashes of the messages, or of the paragraphs of a prompt without messages.
+func (cb completionBody) parts() []uint64 {
+	if len(cb.Messages) == 0 {
+		return paragraphHashes(cb.Prompt)
+	}
+	count := min(len(cb.Messages), maxParts)
+	list := make([]uint64, 0, count)
+	for _, me := range cb.Messages[:count] {
+		list = append(list, xxhash.Sum64(append([]byte(me.Role+"\x00"), me.Content...)))
+	}
+	return list
+}
+
+func paragraphHashes(prompt jsontext.Value) []uint64 {
+	var text string
+	if json.Unmarshal(prompt, &text) != nil {
+		// checkPrompt has rejected a prompt that is not a string.
+		return nil
+	}
+	var list []uint64
+	for _, paragraph := range strings.SplitN(text, "\n\n", maxParts) {
+		list = append(list, xxhash.Sum64String(paragraph))
+	}
+	return list
+}
+
 func valueOf(val *int64) int64 {
 	if val == nil {
 		return 0
--- a/pkg/engine/apply.go
+++ b/pkg/engine/apply.go
@@ -21,6 +21,7 @@
 		return
 	}
 	en.reloadConfig(st)
+	en.loadPartSuspects(st)
 	for _, name := range st.BudgetNames() {
 		en.config.Book.Sync(en.accountUpdate(st, name))
 		en.prefetch(st, name)
@@ -60,6 +61,8 @@
 			en.endIncarnation()
 		}
 		en.intents.notifyResolved()
+	case ledger.SuspicionChanged:
+		en.parts.apply(en.config.Clock(), ev.Key, len(st.CrashedEndpoints(ev.Key)) == 0)
 	case ledger.QuarantineChanged:
 		if !st.Quarantined(ev.Key) {
 			en.suspects.remove(ev.Key)
--- a/pkg/engine/crash.go
+++ b/pkg/engine/crash.go
@@ -88,13 +88,17 @@
 	hash := ru.request.ContentHash
 	var fa *fault.Error
 	switch {
-	case err == nil && en.suspected(hash):
-		en.suspects.remove(hash)
-		en.outbox.put(record.Record{ClearSuspect: &record.ClearSuspect{ContentHash: hash}})
+	case err == nil:
+		en.recordPartAnswer(ru.request)
+		if en.suspected(hash) {
+			en.suspects.remove(hash)
+			en.outbox.put(record.Record{ClearSuspect: &record.ClearSuspect{ContentHash: hash}})
+		}
 	case errors.As(err, &fa) && fa.Kind() == fault.Crashed:
 		en.config.Table.RecordCrash(en.config.Clock(), ep.Name)
 		en.suspects.add(hash, ep.Name)
 		en.outbox.put(record.Record{Suspect: &record.Suspect{ContentHash: hash, Endpoint: ep.Name}})
+		en.recordPartCrash(ru, ep.Name)
 		en.log.Wake()
 		en.awaitSuspect(ctx, hash, ep.Name)
 		en.config.Logger.Info("endpoint crashed", "event", "endpointCrashed",
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -66,6 +66,7 @@
 	outbox    outbox
 	closer    closer
 	suspects  localSuspects
+	parts     partTracker
 }
 
 // New returns an engine; Bind must be called before the first request.
@@ -76,6 +77,7 @@
 		intents:  newIntentTable(),
 		shared:   newSharedTable(),
 		suspects: newLocalSuspects(),
+		parts:    newPartTracker(),
 	}
 	en.directory.Store(NewDirectory(ledger.NewState()))
 	return en
@@ -176,7 +178,7 @@
 	if err := en.checkBudgetTeam(rq); err != nil {
 		return ru, err
 	}
-	if en.quarantined(rq.ContentHash) {
+	if en.quarantined(rq.ContentHash) || en.partBlocked(rq) {
 		return ru, quarantinedError(fault.NotRun)
 	}
 	return ru, nil
--- a/pkg/engine/request.go
+++ b/pkg/engine/request.go
@@ -18,6 +18,8 @@
 	// Key is the caller's idempotency key, or empty.
 	Key         string
 	ContentHash string
+	// Parts are the hashes of the messages of the prompt, which other requests may share; see blame.Request.
+	Parts       []uint64
 	Model       string
 	Service     string
 	Method      string
--- a/pkg/engine/run.go
+++ b/pkg/engine/run.go
@@ -30,6 +30,8 @@
 	usage           Usage
 	endpoint        string
 	attempts        int
+	// sentAt is the time when the last attempt began.
+	sentAt time.Duration
 	// tried and triedDomains are the endpoints of the attempts so far and their failure domains.
 	tried        []string
 	triedDomains []string
@@ -167,6 +169,7 @@
 	ru.tried = append(ru.tried, ep.Name)
 	ru.triedDomains = append(ru.triedDomains, ep.Domain)
 	begin := en.config.Clock()
+	ru.sentAt = begin
 	usage, err := en.config.Runner.Run(ctx, ru.call(ep), si)
 	ru.usage = usage
 	now := en.config.Clock()
@@ -226,7 +229,7 @@
 	if !repeatable || ctx.Err() != nil || ru.attempts >= maxAttempts {
 		return false
 	}
-	if ru.engine.quarantined(ru.request.ContentHash) {
+	if ru.engine.quarantined(ru.request.ContentHash) || ru.engine.partBlocked(ru.request) {
 		return false
 	}
 	return ru.engine.retries.allow(ru.engine.config.Clock())
@@ -243,17 +246,22 @@
 	if ts.delivered {
 		fa = fa.WithVerdict(fa.Verdict().Max(fault.MayHaveRun))
 	}
-	if ru.engine.quarantined(ru.request.ContentHash) {
+	if ru.engine.quarantined(ru.request.ContentHash) || ru.engine.partBlocked(ru.request) {
 		return quarantinedError(fault.MayHaveRun)
 	}
 	return fa
 }
 
+// maxCrashChunks is the maximum number of parts of a response after which a crash still counts as caused by the request.
+const maxCrashChunks = 1
+
 // trackingSink forwards a response and records whether any of it was delivered to the caller.
 type trackingSink struct {
 	run       *run
 	sink      Sink
 	delivered bool
+	// chunks is the number of parts of the response so far.
+	chunks int
 }
 
 func (ts *trackingSink) Head(status int, contentType string) error {
@@ -263,6 +271,10 @@
 
 func (ts *trackingSink) Chunk(data []byte) error {
 	ts.markDelivered()
+	ts.chunks++
+	if ts.chunks == maxCrashChunks+1 {
+		ts.run.engine.recordPartAnswer(ts.run.request)
+	}
 	return ts.sink.Chunk(data)
 }
 
--- a/pkg/ledger/event.go
+++ b/pkg/ledger/event.go
@@ -33,6 +33,8 @@
 	DuplicateBill
 	// QuarantineChanged means that the content hash in Key was quarantined or released.
 	QuarantineChanged
+	// SuspicionChanged means that an endpoint was added to those that crashed on the content hash in Key, or that the hash was cleared.
+	SuspicionChanged
 )
 
 // Event is one state change made by a log entry; fields that do not apply to its kind are zero.
@@ -45,7 +47,7 @@
 	// Sequence is the sequence number of a batch.
 	Sequence int64
 	Budget   string
-	// Key is an idempotency key or, for QuarantineChanged, a content hash.
+	// Key is an idempotency key or, for QuarantineChanged and SuspicionChanged, a content hash.
 	Key string
 	// Tokens is an amount or, for TicketApplied and TicketRejected, the number of the ticket.
 	Tokens int64
--- a/pkg/ledger/quarantine.go
+++ b/pkg/ledger/quarantine.go
@@ -32,6 +32,9 @@
 	return slices.Clone(st.suspects.endpoints[contentHash])
 }
 
+// SuspectHashes returns all content hashes on which an endpoint crashed, the oldest first.
+func (st *State) SuspectHashes() []string { return slices.Clone(st.suspects.order) }
+
 // QuarantinedHashes returns all quarantined content hashes in ascending order.
 func (st *State) QuarantinedHashes() []string {
 	var list []string
@@ -55,6 +58,7 @@
 		tb.evict()
 	}
 	tb.endpoints[su.ContentHash] = append(on, su.Endpoint)
+	st.emit(Event{Kind: SuspicionChanged, Key: su.ContentHash})
 	if len(on)+1 == CrashesToQuarantine {
 		st.emit(Event{Kind: QuarantineChanged, Key: su.ContentHash})
 	}
@@ -66,6 +70,7 @@
 		return
 	}
 	st.suspects.remove(cs.ContentHash)
+	st.emit(Event{Kind: SuspicionChanged, Key: cs.ContentHash})
 }
 
 func (st *State) releaseQuarantined(hash string) {
