Conns: bound the head of a response, and the copies that are skipped before it

An endpoint in trouble may send bytes without end. A head, with the interim responses before it, is now at most 256 KB, and a late copy that is unframed or larger than 1 MB ends the connection at once.

--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -17,7 +17,9 @@
 type conn struct {
 	net     net.Conn
 	address string
-	reader  *bufio.Reader
+	head    *headReader
+	// reader reads through head.
+	reader *bufio.Reader
 	// expires is the time at which the idle connection is closed.
 	expires time.Time
 	// keepAlive is the idle timeout of the connection.
@@ -27,7 +29,8 @@
 }
 
 func newConn(nc net.Conn, address string) *conn {
-	return &conn{net: nc, address: address, reader: bufio.NewReaderSize(nc, readBufferBytes), keepAlive: defaultKeepAlive}
+	he := &headReader{source: nc}
+	return &conn{net: nc, address: address, head: he, reader: bufio.NewReaderSize(he, readBufferBytes), keepAlive: defaultKeepAlive}
 }
 
 func (co *conn) close() { _ = co.net.Close() }
--- a/internal/conns/exchange.go
+++ b/internal/conns/exchange.go
@@ -149,7 +149,9 @@
 // readHead reads the status and the headers of the response, and skips responses to earlier requests on this connection.
 func (ex *Exchange) readHead(rq Request) error {
 	for range maxStaleResponses + 1 {
+		ex.conn.head.start()
 		rs, err := readFinalHead(ex.conn.reader, rq.Method) //nolint:bodyclose // the exchange closes the connection or returns it to the pool
+		ex.conn.head.stop()
 		if err != nil {
 			return err
 		}
@@ -159,8 +161,11 @@
 			rs.Body = &body{exchange: ex, source: rs.Body}
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(rs.Body, maxStaleBytes)); err != nil || rs.Close {
-			return eris.New("the connection carried a response to another request")
+		if rs.Close {
+			return eris.New("the connection ends with a response to another request")
+		}
+		if skipped, err := io.Copy(io.Discard, io.LimitReader(rs.Body, maxStaleBytes)); err != nil || skipped == maxStaleBytes {
+			return eris.New("the connection carried a response to another request that could not be skipped")
 		}
 	}
 	return eris.New("the connection carried only responses to other requests")
