Conns: an answer without an ID counts only on a connection that carried no other request

A 503 without an ID that arrives late, as a second copy or after its request was given up, was taken as the answer to the next request on the connection: its caller was told that the request had not run although it then ran. The case 'a late answer without an ID' of TestBrokenResponses failed before.

--- a/internal/conns/exchange.go
+++ b/internal/conns/exchange.go
@@ -40,8 +40,9 @@
 	Body []byte
 	// NewConn requires a new connection instead of an idle one.
 	NewConn bool
-	// Matches reports whether a response with these headers belongs to this request.
-	Matches func(he http.Header) bool
+	// Matches reports whether a response with these headers belongs to this request. first is set if the connection has carried no other
+	// request, so that the response cannot be a late one to an earlier request.
+	Matches func(he http.Header, first bool) bool
 }
 
 // Exchange is a request that was sent, with its response. Close must be called once.
@@ -155,7 +156,7 @@
 		if err != nil {
 			return err
 		}
-		if rq.Matches(rs.Header) {
+		if rq.Matches(rs.Header, !ex.Reused) {
 			ex.Response = rs
 			ex.complete = rs.Body == http.NoBody
 			rs.Body = &body{exchange: ex, source: rs.Body}
--- a/internal/conns/exchange_test.go
+++ b/internal/conns/exchange_test.go
@@ -97,7 +97,7 @@
 	defer cancel()
 	ex, err := po.Do(ctx, address, conns.Request{
 		Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Id": {id}},
-		Matches: func(he http.Header) bool { return he.Get("Id") == id || he.Get("Id") == "" },
+		Matches: func(he http.Header, first bool) bool { return he.Get("Id") == id || (first && he.Get("Id") == "") },
 	})
 	if err != nil {
 		return result{Verdict: fault.From(err, fault.Ran).Verdict()}
@@ -125,6 +125,9 @@
 		{"a late copy that ends with the connection, and the answer behind it", rawServer{answers: []string{one, unframed + two}}, []result{
 			{Status: 200, Body: "one", Complete: true}, maybe,
 		}},
+		{"a late answer without an ID", rawServer{answers: []string{one, "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" + two}}, []result{
+			{Status: 200, Body: "one", Complete: true}, {Status: 200, Body: "two", Complete: true},
+		}},
 		{"a header line without end", rawServer{answers: []string{"HTTP/1.1 200 OK\r\nX: "}, endless: strings.Repeat("a", 1000)}, []result{maybe}},
 		{"header lines without end", rawServer{answers: []string{"HTTP/1.1 200 OK\r\n"}, endless: strings.Repeat("X: a\r\n", 200)}, []result{maybe}},
 		{"interim responses without end", rawServer{answers: []string{""}, endless: strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100)}, []result{maybe}},
--- a/internal/gate/protocol.go
+++ b/internal/gate/protocol.go
@@ -59,8 +59,8 @@
 	DecodeRequest(he http.Header) (RequestInfo, error)
 	// EndpointHeaders returns the headers of the request to the endpoint, given those of the caller's request.
 	EndpointHeaders(he http.Header, fi ForwardInfo) http.Header
-	// Matches reports whether the headers of a response belong to the request.
-	Matches(he http.Header, ri RequestInfo) bool
+	// Matches reports whether the headers of a response belong to the request, which is the first one of its connection or not.
+	Matches(he http.Header, ri RequestInfo, first bool) bool
 	// DecodeResponse decodes the status and the headers of an endpoint's response.
 	DecodeResponse(status int, he http.Header) ResponseInfo
 	// CallerHeaders returns the headers of the response to the caller, given those of the endpoint's response.
--- a/internal/gate/response.go
+++ b/internal/gate/response.go
@@ -47,8 +47,8 @@
 	}
 }
 
-func (pr *proxyRequest) matches(he http.Header) bool {
-	return pr.gate.config.Protocol.Matches(he, pr.info)
+func (pr *proxyRequest) matches(he http.Header, first bool) bool {
+	return pr.gate.config.Protocol.Matches(he, pr.info, first)
 }
 
 // relayComplete reads the complete response of the endpoint and then relays it to the caller.
