Gate: an unframed stream that ends before its first event has broken off

A stream without a length and chunks ends with its connection. If the endpoint fell over before its first event, the caller got 200 and an empty stream as a complete success. Such an end is now the end of a broken stream: the request is retried where it may be, and otherwise fails with 502. Its case in TestFlaws failed before; the other new cases (unframed answers, whole, cut within an event and reset, an event and a body without end) passed on the old code, too.

--- a/internal/conns/exchange.go
+++ b/internal/conns/exchange.go
@@ -82,6 +82,11 @@
 	return ex, nil
 }
 
+// Framed reports whether the response has a length or chunks, so that its end does not depend on the end of the connection.
+func (ex *Exchange) Framed() bool {
+	return ex.Response.ContentLength >= 0 || len(ex.Response.TransferEncoding) > 0
+}
+
 // SetReadDeadline sets the deadline for reading the response.
 func (ex *Exchange) SetReadDeadline(at time.Time) { _ = ex.conn.net.SetReadDeadline(at) }
 
--- a/internal/edge/path_test.go
+++ b/internal/edge/path_test.go
@@ -85,6 +85,14 @@
 		{"a non-idempotent request with a truncated response may have run", "unsafe", stand.Breaking, true, result{response{502, "", true, ""}, 1}},
 		{"a failure of a non-idempotent request is relayed", "unsafe", stand.Failing, true, result{response{500, "failed", true, ""}, 1}},
 		{"a declined non-idempotent request has not run", "unsafe", stand.Declining, true, result{response{503, "", true, ""}, 0}},
+		{"a stream without length and chunks", "stream", stand.Unframed, true, result{response{200, stream, true, ""}, 1}},
+		{"a stream without length and chunks that ends within an event", "stream", stand.UnframedCut, true, result{response{200, half, false, ""}, 1}},
+		{"such a stream resumes on another endpoint", "resume", stand.UnframedCut, false, result{response{200, stream, true, ""}, 2}},
+		{"such a stream that ends before its first event", "stream", stand.UnframedEmpty, true, result{response{502, "", true, ""}, 1}},
+		{"a response without length and chunks", "safe", stand.Unframed, true, result{response{200, plain, true, ""}, 1}},
+		{"a response without length and chunks that is reset", "unsafe", stand.UnframedCut, true, result{response{502, "", true, ""}, 1}},
+		{"an event without end", "stream", stand.EndlessBody, true, result{response{502, "", true, ""}, 1}},
+		{"a response without end", "unsafe", stand.EndlessBody, true, result{response{502, "", true, ""}, 1}},
 		{"a response without a signature is rejected", "unsafe", stand.Unsigned, true, result{response{502, "", true, ""}, 1}},
 	}
 	for _, tc := range cases {
--- a/internal/gate/response.go
+++ b/internal/gate/response.go
@@ -100,6 +100,9 @@
 	for {
 		pr.updateCost(fw.eventCount)
 		data, err := rd.Next()
+		if errors.Is(err, io.EOF) && fw.endsTooEarly(ex) {
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			return fw.endStream(ex)
 		}
@@ -128,6 +131,12 @@
 	}
 }
 
+// endsTooEarly reports whether a stream without events is a response that broke off: without a length and chunks, the end of the connection is
+// no proof of the end of the response. Only a resumed stream may have no further event.
+func (fw *forwarder) endsTooEarly(ex *conns.Exchange) bool {
+	return fw.eventCount == 0 && fw.lastEventID == 0 && !ex.Framed()
+}
+
 // endStream finishes the response after the endpoint has ended the stream.
 func (fw *forwarder) endStream(ex *conns.Exchange) (place.Outcome, error) {
 	pr := fw.request
