Gate: cut a stream that has more events than its request pays for

An endpoint that sends events without end had them passed on until the deadline, while the cost stayed at the request's maximum: the team got tokens beyond its reservation, and so beyond its prepaid total. A stream now ends as broken off once it has more events than the maximum output, and the events before are flushed. The case 'events beyond those that were paid for' in TestFlaws failed before.

--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"time"
 
 	"github.com/clementineweir/clementineweir/pkg/fault"
@@ -114,6 +115,15 @@
 	pr.reserved = 0
 }
 
+// maxEvents returns the number of events that the reserved tokens pay for.
+func (pr *proxyRequest) maxEvents() int64 {
+	perEvent := pr.service.TokensPerEvent
+	if !pr.info.Sized || perEvent <= 0 {
+		return math.MaxInt64
+	}
+	return (pr.info.Output + perEvent - 1) / perEvent
+}
+
 // updateCost sets the cost of the request: the tokens of the prompt plus those of the events relayed so far. The prompt counts once, also
 // after several attempts.
 func (pr *proxyRequest) updateCost(events int64) {
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -82,6 +82,10 @@
 		pr.writeError(fa)
 	}
 	pr.writeLog(fa.Error(), "verdict", fa.Verdict().String())
+	if responseStarted {
+		// Delivers the events that were billed; it fails if the caller left.
+		_ = http.NewResponseController(pr.writer).Flush()
+	}
 	if responseStarted || fa.Kind() == fault.Canceled {
 		// Closes the connection, so that the caller does not take a truncated response for a complete one.
 		panic(http.ErrAbortHandler)
--- a/internal/gate/response.go
+++ b/internal/gate/response.go
@@ -122,6 +122,9 @@
 			return place.Failed, fault.New(fault.Upstream, fault.Ran, "the endpoint resumed the stream at the wrong event")
 		}
 		resumed = false
+		if fw.eventCount >= pr.maxEvents() {
+			return place.Failed, fault.New(fault.Upstream, fault.Ran, "the endpoint sent more events than the request may have")
+		}
 		if ok {
 			fw.lastEventID = id
 		}
