Runner: a response that is cut off is no success

Two ways led from a response that broke off halfway to a complete success at the caller of the first interface: a body of more than 64 MB, or without end, was cut there and delivered with its first 64 MB; and a JSON body with neither length nor chunks was taken as whole wherever its connection ended. Both are one missing check, in one function for models and services now: a body beyond the limit is an error, and an unframed JSON body must be complete JSON.

--- a/internal/conns/exchange_test.go
+++ b/internal/conns/exchange_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/clementineweir/clementineweir/internal/conns"
+	"github.com/clementineweir/clementineweir/internal/fakes"
 	"github.com/clementineweir/clementineweir/pkg/fault"
 )
 
@@ -22,67 +22,6 @@
 	maxBytesRead = 16 << 20
 )
 
-// rawServer answers each request on its only connections with the next text of a script.
-type rawServer struct {
-	tt       *testing.T
-	listener net.Listener
-	// answers are the texts to send, one for each request; endless is repeated after the last one until the client closes.
-	answers []string
-	endless string
-	reset   bool
-	// sent receives the number of endless bytes once the client has closed the connection.
-	sent chan int
-}
-
-func newRawServer(tt *testing.T, rs rawServer) *rawServer {
-	li, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		tt.Fatal(err)
-	}
-	tt.Cleanup(func() { _ = li.Close() })
-	rs.tt, rs.listener, rs.sent = tt, li, make(chan int, 8)
-	go rs.run()
-	return &rs
-}
-
-func (rs *rawServer) run() {
-	for {
-		nc, err := rs.listener.Accept()
-		if err != nil {
-			return
-		}
-		rs.serve(nc.(*net.TCPConn))
-	}
-}
-
-// serve answers the requests of one connection.
-func (rs *rawServer) serve(nc *net.TCPConn) {
-	defer func() { _ = nc.Close() }()
-	buffer := make([]byte, 4096)
-	for _, text := range rs.answers {
-		if _, err := nc.Read(buffer); err != nil {
-			return
-		}
-		if _, err := io.WriteString(nc, text); err != nil {
-			return
-		}
-	}
-	if rs.reset {
-		time.Sleep(20 * time.Millisecond)
-		_ = nc.SetLinger(0)
-		return
-	}
-	sent := 0
-	for rs.endless != "" && sent < 2*maxBytesRead {
-		count, err := io.WriteString(nc, rs.endless)
-		sent += count
-		if err != nil {
-			break
-		}
-	}
-	rs.sent <- sent
-}
-
 // result is what the client got for one request.
 type result struct {
 	Status int
@@ -114,46 +53,51 @@
 	maybe := result{Verdict: fault.MayHaveRun}
 	cases := []struct {
 		name   string
-		server rawServer
+		server fakes.RawServer
 		want   []result
 	}{
-		{"neither length nor chunks, ends with the connection", rawServer{answers: []string{unframed}}, []result{{Status: 200, Body: "one", Complete: true}}},
-		{"neither length nor chunks, reset", rawServer{answers: []string{unframed}, reset: true}, []result{{Status: 200, Body: "one"}}},
-		{"a late second copy before the answer", rawServer{answers: []string{one, one + two}}, []result{
+		{"neither length nor chunks, ends with the connection", fakes.RawServer{Answers: []string{unframed}}, []result{{Status: 200, Body: "one", Complete: true}}},
+		{"neither length nor chunks, reset", fakes.RawServer{Answers: []string{unframed}, Reset: true}, []result{{Status: 200, Body: "one"}}},
+		{"a late second copy before the answer", fakes.RawServer{Answers: []string{one, one + two}}, []result{
 			{Status: 200, Body: "one", Complete: true}, {Status: 200, Body: "two", Complete: true},
 		}},
-		{"a late copy that ends with the connection, and the answer behind it", rawServer{answers: []string{one, unframed + two}}, []result{
+		{"a late copy that ends with the connection, and the answer behind it", fakes.RawServer{Answers: []string{one, unframed + two}}, []result{
 			{Status: 200, Body: "one", Complete: true}, maybe,
 		}},
-		{"a late answer without an ID", rawServer{answers: []string{one, "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" + two}}, []result{
+		{"a late answer without an ID", fakes.RawServer{Answers: []string{one, "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" + two}}, []result{
 			{Status: 200, Body: "one", Complete: true}, {Status: 200, Body: "two", Complete: true},
 		}},
-		{"a header line without end", rawServer{answers: []string{"HTTP/1.1 200 OK\r\nX: "}, endless: strings.Repeat("a", 1000)}, []result{maybe}},
-		{"header lines without end", rawServer{answers: []string{"HTTP/1.1 200 OK\r\n"}, endless: strings.Repeat("X: a\r\n", 200)}, []result{maybe}},
-		{"interim responses without end", rawServer{answers: []string{""}, endless: strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100)}, []result{maybe}},
-		{"bytes without end", rawServer{answers: []string{""}, endless: strings.Repeat("a", 1000)}, []result{maybe}},
-		{"a late copy without end", rawServer{answers: []string{one, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 99999999\r\n\r\n"}, endless: strings.Repeat("a", 1000)}, []result{
+		{"a header line without end", fakes.RawServer{Answers: []string{"HTTP/1.1 200 OK\r\nX: "}, Endless: strings.Repeat("a", 1000)}, []result{maybe}},
+		{"header lines without end", fakes.RawServer{Answers: []string{"HTTP/1.1 200 OK\r\n"}, Endless: strings.Repeat("X: a\r\n", 200)}, []result{maybe}},
+		{"interim responses without end", fakes.RawServer{Answers: []string{""}, Endless: strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100)}, []result{maybe}},
+		{"bytes without end", fakes.RawServer{Answers: []string{""}, Endless: strings.Repeat("a", 1000)}, []result{maybe}},
+		{"a late copy without end", fakes.RawServer{Answers: []string{one, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 99999999\r\n\r\n"}, Endless: strings.Repeat("a", 1000)}, []result{
 			{Status: 200, Body: "one", Complete: true}, maybe,
 		}},
-		{"a body without end", rawServer{answers: []string{"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"}, endless: strings.Repeat("a", 1000)}, []result{
+		{"a body without end", fakes.RawServer{Answers: []string{"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"}, Endless: strings.Repeat("a", 1000)}, []result{
 			{Status: 200, Body: strings.Repeat("a", 1000)},
 		}},
 	}
 	for _, tc := range cases {
 		tt.Run(tc.name, func(tt *testing.T) {
-			rs := newRawServer(tt, tc.server)
+			rs := tc.server
+			address, err := rs.Start()
+			if err != nil {
+				tt.Fatal(err)
+			}
+			defer rs.Close()
 			po := conns.NewPool(func() {})
 			var got []result
 			for ix := range tc.want {
-				got = append(got, ask(po, rs.listener.Addr().String(), []string{"1", "2"}[ix]))
+				got = append(got, ask(po, address, []string{"1", "2"}[ix]))
 			}
 			if diff := cmp.Diff(tc.want, got); diff != "" {
 				tt.Errorf("results (-want +got):\n%s", diff)
 			}
-			if tc.server.endless == "" {
+			if tc.server.Endless == "" {
 				return
 			}
-			if sent := <-rs.sent; sent > maxBytesRead {
+			if sent := rs.Sent(); sent > maxBytesRead {
 				tt.Errorf("the client read on for %d bytes, want at most %d", sent, maxBytesRead)
 			}
 		})
--- a/internal/runner/model.go
+++ b/internal/runner/model.go
@@ -165,7 +165,7 @@
 }
 
 func (mo *modelRun) receiveComplete(idl *idleTimer, rs *http.Response) error {
-	data, err := io.ReadAll(io.LimitReader(idl.reader(rs.Body), maxResponseBytes))
+	data, err := readComplete(rs, idl.reader(rs.Body))
 	if err != nil {
 		return idl.errorOf(err)
 	}
--- a/internal/runner/service.go
+++ b/internal/runner/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/clementineweir/clementineweir/pkg/engine"
@@ -25,7 +24,7 @@
 	if rs.StatusCode == statusTooManyRequests {
 		return refusal(rs)
 	}
-	data, err := io.ReadAll(io.LimitReader(rs.Body, maxResponseBytes))
+	data, err := readComplete(rs, rs.Body)
 	if err != nil {
 		return cl.classifyCrash(ctx, ca, fault.Wrap(err, fault.Upstream, fault.MayHaveRun, "the response of the service was cut off"))
 	}
