--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -89,8 +89,11 @@
 func TestCrashOfOlderBuild(tt *testing.T) {
 	qs := newQuarantines(1)
 	qs.list[0].applyRecords([]keyed.Record{
-		{Key: "crash/0000000000abcdef/a", Value: []byte{1}}, {Key: "crash/0000000000abcdef/b", Value: []byte{1}},
-		{Key: "crash/0000000000abcdef/c", Value: []byte{1}}, {Key: "crash/nonsense", Value: []byte{1}}, {Key: "crash/1/x", Value: []byte("{")},
+		{Key: "crash/0000000000abcdef/a", Value: []byte{1}},
+		{Key: "crash/0000000000abcdef/b", Value: []byte{1}},
+		{Key: "crash/0000000000abcdef/c", Value: []byte{1}},
+		{Key: "crash/nonsense", Value: []byte{1}},
+		{Key: "crash/1/x", Value: []byte("{")},
 	})
 	if diff := cmp.Diff([]bool{true}, qs.blocked(blame.Request{Content: 0xabcdef})); diff != "" {
 		tt.Error(diff)
--- a/pkg/blame/tracker_test.go
+++ b/pkg/blame/tracker_test.go
@@ -56,7 +56,9 @@
 		{
 			"an answer to a request with one of them shows which one is the cause",
 			[]event{
-				{"a", rq(10, subject, dead), 0, 10}, {"b", rq(11, subject, dead), 11, 20}, {"c", rq(12, subject, dead), 21, 30},
+				{"a", rq(10, subject, dead), 0, 10},
+				{"b", rq(11, subject, dead), 11, 20},
+				{"c", rq(12, subject, dead), 21, 30},
 				{"", rq(14, subject), 40, 50},
 			},
 			map[string]blame.Request{"both": rq(13, subject, dead), "subject": rq(14, subject), "dead": rq(15, dead)},
@@ -65,8 +67,11 @@
 		{
 			"and so do crashes of requests with one of them",
 			[]event{
-				{"a", rq(10, subject, dead), 0, 10}, {"b", rq(11, subject, dead), 11, 20}, {"c", rq(12, subject, dead), 21, 30},
-				{"d", rq(13, other, dead), 31, 40}, {"e", rq(14, other, dead), 41, 50},
+				{"a", rq(10, subject, dead), 0, 10},
+				{"b", rq(11, subject, dead), 11, 20},
+				{"c", rq(12, subject, dead), 21, 30},
+				{"d", rq(13, other, dead), 31, 40},
+				{"e", rq(14, other, dead), 41, 50},
 			},
 			map[string]blame.Request{"subject": rq(15, subject), "dead": rq(16, dead), "other": rq(17, other)},
 			map[string]bool{"subject": false, "dead": true, "other": false},
@@ -74,8 +79,13 @@
 		{
 			"requests that ran beside the cause are not blocked",
 			[]event{
-				{"a", rq(10, dead), 0, 10}, {"a", rq(20, other), 0, 10}, {"b", rq(11, dead), 11, 20}, {"b", rq(21, other), 11, 20},
-				{"c", rq(12, dead), 21, 30}, {"c", rq(22, other), 21, 30}, {"d", rq(13, dead), 31, 40},
+				{"a", rq(10, dead), 0, 10},
+				{"a", rq(20, other), 0, 10},
+				{"b", rq(11, dead), 11, 20},
+				{"b", rq(21, other), 11, 20},
+				{"c", rq(12, dead), 21, 30},
+				{"c", rq(22, other), 21, 30},
+				{"d", rq(13, dead), 31, 40},
 			},
 			map[string]blame.Request{"dead": rq(15, dead), "other": rq(16, other)},
 			map[string]bool{"dead": true, "other": false},
@@ -84,7 +94,10 @@
 			"a part that was answered a moment ago is not suspected",
 			[]event{
 				{"", rq(1, shared), 0, 100},
-				{"a", rq(10, shared), 110, 120}, {"b", rq(11, shared), 121, 130}, {"c", rq(12, shared), 131, 140}, {"d", rq(13, shared), 141, 150},
+				{"a", rq(10, shared), 110, 120},
+				{"b", rq(11, shared), 121, 130},
+				{"c", rq(12, shared), 131, 140},
+				{"d", rq(13, shared), 141, 150},
 			},
 			map[string]blame.Request{"next": rq(14, shared)},
 			map[string]bool{"next": false},
@@ -93,7 +106,9 @@
 			"a part that was answered for a long time and crashes since then is blocked",
 			[]event{
 				{"", rq(1, dead), 0, 100},
-				{"a", rq(10, dead), 2110, 2120}, {"b", rq(11, dead), 2121, 2130}, {"c", rq(12, dead), 2131, 2140},
+				{"a", rq(10, dead), 2110, 2120},
+				{"b", rq(11, dead), 2121, 2130},
+				{"c", rq(12, dead), 2131, 2140},
 			},
 			map[string]blame.Request{"next": rq(14, dead)},
 			map[string]bool{"next": true},
@@ -101,8 +116,12 @@
 		{
 			"two causes",
 			[]event{
-				{"a", rq(10, dead), 0, 10}, {"b", rq(11, dead), 11, 20}, {"c", rq(12, dead), 21, 30},
-				{"d", rq(20, other), 31, 40}, {"e", rq(21, other), 41, 50}, {"f", rq(22, other), 51, 60},
+				{"a", rq(10, dead), 0, 10},
+				{"b", rq(11, dead), 11, 20},
+				{"c", rq(12, dead), 21, 30},
+				{"d", rq(20, other), 31, 40},
+				{"e", rq(21, other), 41, 50},
+				{"f", rq(22, other), 51, 60},
 			},
 			map[string]blame.Request{"dead": rq(15, dead), "other": rq(16, other), "shared": rq(17, shared)},
 			map[string]bool{"dead": true, "other": true, "shared": false},
