Gate: a comment in a stream is no progress

A stalled endpoint that sends a comment now and then kept its stream open until the deadline, since each comment counted as an event: it restarted the timeout between events and was billed; since the bound on events it cut the stream instead. Events without data are now passed on without either. TestStalledStreamWithComments failed before (the stream broke off after three of six events) and passes.

--- a/internal/edge/path_test.go
+++ b/internal/edge/path_test.go
@@ -128,6 +128,34 @@
 	}
 }
 
+// TestStalledStreamWithComments guards against a stream that makes no progress but never ends, since its endpoint sends a comment now and then.
+func TestStalledStreamWithComments(tt *testing.T) {
+	fl := newFleet(tt, fleetConfig{instances: 1, prepaid: plenty})
+	for ix := range 20 {
+		fl.send(fl.instances[0], request{id: fmt.Sprint("warm-", ix), route: "resume", key: testKey, prompt: 10, output: testEvents * testStride})
+	}
+	setFault := func(fault stand.EndpointFault) {
+		for _, en := range fl.models {
+			en.SetFault(fault)
+		}
+	}
+	setFault(stand.Commenting)
+	got := make(chan response, 1)
+	go func() {
+		got <- fl.send(fl.instances[0], request{id: "id", route: "resume", key: testKey, prompt: 10, output: testEvents * testStride})
+	}()
+	fl.await("the stream runs", func() bool { return len(fl.runsOf("id")) == 1 })
+	setFault(stand.Healthy)
+	rs := <-got
+	rs.Body = strings.ReplaceAll(rs.Body, stand.Comment, "")
+	if diff := cmp.Diff(response{Status: http.StatusOK, Body: stand.Stream("id", testEvents), Complete: true}, rs); diff != "" {
+		tt.Error(diff)
+	}
+	if diff := cmp.Diff(2, len(fl.runsOf("id"))); diff != "" {
+		tt.Errorf("runs of the request (-want +got):\n%s", diff)
+	}
+}
+
 // TestRefusals checks that invalid requests are rejected and do not reach an endpoint.
 func TestRefusals(tt *testing.T) {
 	fl := newFleet(tt, fleetConfig{instances: 1, prepaid: 1000})
--- a/internal/events/reader.go
+++ b/internal/events/reader.go
@@ -24,6 +24,7 @@
 	emptyLine   = []byte("\n\n")
 	emptyLineCR = []byte("\n\r\n")
 	idField     = []byte("id:")
+	dataField   = []byte("data")
 )
 
 // Reader reads single events from a stream of server-sent events.
@@ -73,6 +74,18 @@
 	}
 }
 
+// HasData reports whether an event carries data. One without data, such as a comment that keeps the connection open, shows no progress.
+func HasData(event []byte) bool {
+	for len(event) > 0 {
+		line, rest, _ := bytes.Cut(event, newline)
+		event = rest
+		if bytes.HasPrefix(line, dataField) {
+			return true
+		}
+	}
+	return false
+}
+
 // ID returns the numeric id of an event, and false if it has none.
 func ID(event []byte) (int64, bool) {
 	for len(event) > 0 {
--- a/internal/gate/response.go
+++ b/internal/gate/response.go
@@ -112,6 +112,12 @@
 			}
 			return fw.incomplete(fault.Wrap(err, fault.Upstream, fault.MayHaveRun, "the stream broke off"))
 		}
+		if !events.HasData(data) {
+			if err := fw.relayComment(ex, data); err != nil {
+				return place.Canceled, fault.Wrap(err, fault.Canceled, fault.Ran, "the caller left")
+			}
+			continue
+		}
 		at.RecordFirstEvent(pr.now())
 		at.RecordActivity(pr.now())
 		if stallTimer != nil {
@@ -172,13 +178,29 @@
 	fw.headerSent = true
 }
 
+// relayComment sends an event without data to the caller. It is neither billed nor does it show that the stream makes progress.
+func (fw *forwarder) relayComment(ex *conns.Exchange, data []byte) error {
+	fw.startResponse(ex)
+	if _, err := fw.request.writer.Write(data); err != nil {
+		return err
+	}
+	return http.NewResponseController(fw.request.writer).Flush()
+}
+
+// startResponse sends the header unless the caller has received it.
+func (fw *forwarder) startResponse(ex *conns.Exchange) {
+	if fw.headerSent {
+		return
+	}
+	pr := fw.request
+	_ = http.NewResponseController(pr.writer).SetWriteDeadline(time.Now().Add(pr.timeLeft() + writeGrace))
+	fw.sendHeader(ex)
+}
+
 // relayEvent sends one event to the caller; flush is false if a further event is already buffered.
 func (fw *forwarder) relayEvent(ex *conns.Exchange, data []byte, flush bool) error {
 	pr := fw.request
-	if !fw.headerSent {
-		_ = http.NewResponseController(pr.writer).SetWriteDeadline(time.Now().Add(pr.timeLeft() + writeGrace))
-		fw.sendHeader(ex)
-	}
+	fw.startResponse(ex)
 	fw.eventCount++
 	if fw.eventCount == maxCrashEvents+1 {
 		pr.gate.config.Quarantine.RecordAnswer(pr.traits)
