Gate: give up a slow response only if the request can be sent elsewhere

A slow but sound endpoint had its stream or response canceled after the stall timeout even when nothing could follow: no other endpoint, or no retry left in the budget. The caller got 502, or a stream that broke off, where waiting would have brought the answer; an endpoint that was only silent for a while had its running work given up. The next endpoint is now chosen, and counted against the retry budget, before the attempt is canceled; without one the attempt goes on. TestSlowEndpointWithoutAlternative failed before in both cases and passes.

--- a/internal/edge/path_test.go
+++ b/internal/edge/path_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -156,6 +157,45 @@
 	}
 }
 
+// TestSlowEndpointWithoutAlternative guards against a slow but sound response being given up although the request cannot be sent elsewhere:
+// there is no other endpoint, or the retry budget is used up.
+func TestSlowEndpointWithoutAlternative(tt *testing.T) {
+	const slowEvents = 2
+	cases := []struct {
+		name   string
+		others bool
+	}{
+		{"no other endpoint", false},
+		{"no retry left", true},
+	}
+	for _, tc := range cases {
+		tt.Run(tc.name, func(tt *testing.T) {
+			fl := newFleet(tt, fleetConfig{instances: 1, prepaid: plenty})
+			for ix := range 3 {
+				fl.store.Put(wire.RegistrationTopic, fmt.Sprint("model-", ix), nil)
+			}
+			want := 1
+			ids := []string{"slow-0"}
+			if tc.others {
+				want, ids = 2, append(ids, "slow-1")
+			}
+			for _, id := range ids {
+				fl.models = append(fl.models, fl.addEndpoint(id, stand.EndpointConfig{
+					ID: id, Service: "model", Domain: "zone-a", Slots: 32, Events: slowEvents, Pause: 1500 * time.Millisecond,
+				}))
+			}
+			fl.await("the slow endpoints are known", func() bool { return fl.instances[0].edge.UsableEndpoints("model") == want })
+			got := fl.send(fl.instances[0], request{id: "id", route: "resume", key: testKey, prompt: 10, output: slowEvents * testStride})
+			if diff := cmp.Diff(response{Status: http.StatusOK, Body: stand.Stream("id", slowEvents), Complete: true}, got); diff != "" {
+				tt.Error(diff)
+			}
+			if diff := cmp.Diff(1, len(fl.runsOf("id"))); diff != "" {
+				tt.Errorf("runs of the request (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestRefusals checks that invalid requests are rejected and do not reach an endpoint.
 func TestRefusals(tt *testing.T) {
 	fl := newFleet(tt, fleetConfig{instances: 1, prepaid: 1000})
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -107,6 +108,8 @@
 	sentAt time.Duration
 	// stalled reports whether an attempt was canceled because the endpoint sent nothing within the timeout.
 	stalled atomic.Bool
+	// next is the endpoint of the next attempt if it was chosen before the last one was canceled, or nil.
+	next atomic.Pointer[place.Decision]
 }
 
 // run makes attempts until one succeeds or no retry is allowed, and returns the final error.
@@ -135,12 +138,12 @@
 func (fw *forwarder) choose() (place.Decision, error) {
 	pr := fw.request
 	cf := pr.gate.config
-	now := pr.now()
-	rq := place.Request{
-		Prompt: pr.info.Prompt, Output: pr.info.Output, Parts: pr.info.Parts, Domain: cf.Domain, Tried: fw.tried, Rank: pr.route.Priority,
-		TimeLeft: pr.firstEventLimit(),
+	if de := fw.next.Swap(nil); de != nil && !slices.Contains(fw.tried, de.Endpoint.ID) {
+		pr.entry.recordDecision(*de)
+		return *de, nil
 	}
-	de := cf.Board.Pick(now, pr.service, cf.Roster.Usable(pr.service.Name), rq)
+	now := pr.now()
+	de := cf.Board.Pick(now, pr.service, cf.Roster.Usable(pr.service.Name), pr.placement(fw.tried))
 	pr.entry.recordDecision(de)
 	if de.Endpoint == nil {
 		return de, fault.New(fault.Overloaded, fault.NotRun, de.Reason).WithRetryAfter(de.RetryAfter)
@@ -155,6 +158,14 @@
 	return de, nil
 }
 
+// placement returns the properties of the request that decide its placement; tried are the endpoints that may not be chosen again.
+func (pr *proxyRequest) placement(tried []string) place.Request {
+	return place.Request{
+		Prompt: pr.info.Prompt, Output: pr.info.Output, Parts: pr.info.Parts, Domain: pr.gate.config.Domain, Tried: tried,
+		Rank: pr.route.Priority, TimeLeft: pr.firstEventLimit(),
+	}
+}
+
 // firstEventLimit returns the maximum time until the first event of a stream: callers abandon streams that start later. For other
 // requests it returns the time left until the deadline.
 func (pr *proxyRequest) firstEventLimit() time.Duration {
@@ -234,14 +245,10 @@
 	ctx, cancel := context.WithCancel(fw.ctx)
 	defer cancel()
 	fw.stalled.Store(false)
-	timeout := fw.stallTimeout(de)
-	var stallTimer *time.Timer
-	if timeout > 0 {
-		stallTimer = time.AfterFunc(timeout, func() {
-			fw.stalled.Store(true)
-			cancel()
-		})
-		defer stallTimer.Stop()
+	var watch *stallWatch
+	if timeout := fw.stallTimeout(de); timeout > 0 {
+		watch = fw.watchStall(ctx, timeout, cancel)
+		defer watch.stop()
 	}
 	ex, err := cf.Pool.Do(ctx, de.Endpoint.Address, conns.Request{
 		Method: pr.httpRequest.Method, Target: pr.httpRequest.RequestURI, Host: pr.httpRequest.Host, Body: pr.body,
@@ -265,7 +272,7 @@
 	}
 	fw.verdict = fault.MayHaveRun
 	if pr.route.Stream && ex.Response.StatusCode < 300 && ri.Genuine {
-		return fw.relayStream(ex, de, at, stallTimer)
+		return fw.relayStream(ex, de, at, watch)
 	}
 	return fw.relayComplete(ex, de, ri)
 }
--- a/internal/gate/response.go
+++ b/internal/gate/response.go
@@ -93,7 +93,7 @@
 }
 
 // relayStream relays complete events as they arrive.
-func (fw *forwarder) relayStream(ex *conns.Exchange, de place.Decision, at *place.Attempt, stallTimer *time.Timer) (place.Outcome, error) {
+func (fw *forwarder) relayStream(ex *conns.Exchange, de place.Decision, at *place.Attempt, watch *stallWatch) (place.Outcome, error) {
 	pr := fw.request
 	rd := events.NewReader(ex.Response.Body)
 	resumed := fw.headerSent
@@ -120,9 +120,7 @@
 		}
 		at.RecordFirstEvent(pr.now())
 		at.RecordActivity(pr.now())
-		if stallTimer != nil {
-			stallTimer.Reset(fw.eventTimeout())
-		}
+		watch.reset(fw.eventTimeout())
 		id, ok := events.ID(data)
 		if resumed && (!ok || id != fw.lastEventID+1) {
 			return place.Failed, fault.New(fault.Upstream, fault.Ran, "the endpoint resumed the stream at the wrong event")
