Edge: a stop answers the connections that the kernel has accepted

Callers whose connections were queued, or accepted and on their way to a server, when the listener was closed were reset without an answer, although their requests were sent: TestStopAnswersAcceptedConnections, 0 of 64 answered before. A stopping instance now accepts what is queued first, and waits until the last connection has been passed on; 64 of 64 are answered, three times under the race detector.

--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,8 @@
 	defaultIdleTimeout   = 15 * time.Second
 	// idleSlack is added to the configured idle timeout, which callers know. So callers close an idle connection before the server does.
 	idleSlack = time.Second
+	// acceptTime is how long a stopping instance accepts the connections that the kernel has queued.
+	acceptTime = 50 * time.Millisecond
 	// readinessTimeout is the maximum time for reading the request headers of a readiness check or a peer.
 	readinessTimeout = 2 * time.Second
 )
@@ -39,6 +42,8 @@
 	readiness net.Listener
 	peers     net.Listener
 	datagrams net.PacketConn
+	// accepting is held for reading while a connection is accepted and passed to a server.
+	accepting sync.RWMutex
 	// active is the number of callers' requests in flight.
 	active       atomic.Int64
 	mu           sync.Mutex
@@ -89,18 +94,40 @@
 func (sv *servers) run(ctx context.Context) error {
 	defer context.AfterFunc(ctx, func() { _ = sv.callers.Close() })()
 	for {
-		nc, err := sv.callers.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		err := sv.accept()
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			<-ctx.Done()
 			return nil
 		}
 		if err != nil {
 			sv.edge.config.Logger.Info("cannot accept a connection", "reason", err.Error())
 			pause(ctx, minGrantPause)
-			continue
 		}
+	}
+}
+
+// accept accepts one connection and passes it to the server with the limits in force.
+func (sv *servers) accept() error {
+	sv.accepting.RLock()
+	defer sv.accepting.RUnlock()
+	nc, err := sv.callers.Accept()
+	if err == nil {
 		sv.serverInForce().add(nc)
 	}
+	return err
+}
+
+// stopAccepting accepts the connections that the kernel has queued, and then closes the listener. Connections that are still queued when the
+// listener is closed would be reset, although their requests may have been sent.
+func (sv *servers) stopAccepting() {
+	if li, ok := sv.callers.(*net.TCPListener); ok && li.SetDeadline(time.Now().Add(acceptTime)) == nil {
+		for sv.accept() == nil {
+		}
+	}
+	_ = sv.callers.Close()
+	// Waits until the last accepted connection is passed to a server.
+	sv.accepting.Lock()
+	defer sv.accepting.Unlock()
 }
 
 // serverInForce returns the server with the limits of the current configuration, and starts it if the limits have changed.
@@ -139,7 +166,7 @@
 
 // shutdown closes idle connections, and waits for requests in flight until the context ends.
 func (sv *servers) shutdown(ctx context.Context) {
-	_ = sv.callers.Close()
+	sv.stopAccepting()
 	sv.mu.Lock()
 	list := sv.limitServers
 	sv.mu.Unlock()
