Runner: a late second copy of a response is not the answer to the next request

On the first interface endpoints' connections were used again without a check to which request a response belongs. A server that sent a second copy of an answer, late, gave it to the next caller as its own ('a late second copy on a connection in use again' in TestBrokenResponses got the answer to request 2 for request 3, and a complete success). A response with another ID is now an error that may have run, and a connection is used again only for endpoints that repeat X-Request-ID; the stand-ins do. On a new connection a response without an ID still counts.

--- a/internal/fakes/runner.go
+++ b/internal/fakes/runner.go
@@ -187,7 +187,7 @@
 func (ru *Runner) Handler() http.Handler {
 	ec := echo.New()
 	ec.HideBanner = true
-	ec.Use(ru.abortWhenDown)
+	ec.Use(ru.abortWhenDown, repeatRequestID)
 	ec.POST("/v1/chat/completions", ru.handleCompletion)
 	ec.POST("/v1/completions", ru.handleCompletion)
 	ec.GET("/v1/streams/:id", ru.handleResume)
@@ -198,6 +198,16 @@
 	return ec
 }
 
+// repeatRequestID sets the ID of the request in the response.
+func repeatRequestID(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(ct echo.Context) error {
+		if id := ct.Request().Header.Get(headerRequestID); id != "" {
+			ct.Response().Header().Set(headerRequestID, id)
+		}
+		return next(ct)
+	}
+}
+
 func (ru *Runner) abortWhenDown(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(ct echo.Context) error {
 		ru.mu.Lock()
--- a/internal/fakes/service.go
+++ b/internal/fakes/service.go
@@ -100,6 +100,7 @@
 func (se *Service) Handler() http.Handler {
 	ec := echo.New()
 	ec.HideBanner = true
+	ec.Use(repeatRequestID)
 	ec.GET("/v1/load", func(ct echo.Context) error { return ct.JSON(http.StatusOK, LoadReport{}) })
 	ec.GET("/v1/runs", func(ct echo.Context) error { return ct.JSON(http.StatusOK, se.Calls()) })
 	ec.POST("/control", se.handleControl)
--- a/internal/runner/client.go
+++ b/internal/runner/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,6 +60,9 @@
 	// pooled reuses idle connections; unpooled opens a new connection for each call.
 	pooled   *http.Client
 	unpooled *http.Client
+	// echoing holds the addresses of the endpoints that repeat the request ID in their responses. Only their connections are used for more
+	// than one call, since a late response to an earlier call cannot be recognized otherwise.
+	echoing sync.Map
 }
 
 // New returns a client.
@@ -100,17 +104,22 @@
 
 // send sends the request. An error has the verdict NotRun only if not even the headers of the request were written.
 func (cl *Client) send(ctx context.Context, hc *http.Client, ca engine.Call, body []byte) (*http.Response, error) {
-	var wrote atomic.Bool
-	trace := &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }}
+	var wrote, reused atomic.Bool
+	trace := &httptrace.ClientTrace{
+		WroteHeaders: func() { wrote.Store(true) },
+		GotConn:      func(info httptrace.GotConnInfo) { reused.Store(info.Reused) },
+	}
 	rq, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), ca.Method, ca.Endpoint.Address+ca.Path, singleUseBody(body))
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Invalid, fault.NotRun, "the request cannot be sent to an endpoint")
 	}
 	rq.ContentLength = int64(len(body))
 	setHeaders(rq, ca)
+	_, echoes := cl.echoing.Load(ca.Endpoint.Address)
+	rq.Close = !echoes
 	rs, err := hc.Do(rq)
 	if err == nil {
-		return rs, nil
+		return rs, cl.checkID(rs, ca, reused.Load())
 	}
 	if !wrote.Load() {
 		return nil, fault.Wrap(err, fault.Upstream, fault.NotRun, "the endpoint could not be reached")
@@ -118,6 +127,21 @@
 	return nil, fault.Wrap(err, fault.Upstream, fault.MayHaveRun, "the endpoint did not answer")
 }
 
+// checkID returns an error, and closes the response, if it may belong to another call; reused reports whether the connection had carried one.
+func (cl *Client) checkID(rs *http.Response, ca engine.Call, reused bool) error {
+	echo := rs.Header.Get(HeaderRequestID)
+	if echo == ca.ID {
+		cl.echoing.Store(ca.Endpoint.Address, true)
+		return nil
+	}
+	cl.echoing.Delete(ca.Endpoint.Address)
+	if echo == "" && !reused {
+		return nil
+	}
+	closeBody(rs)
+	return fault.New(fault.Upstream, fault.MayHaveRun, "the connection carried a response to another request")
+}
+
 // clientFor returns the unpooled client for calls that are not idempotent: the transport resends a request only after
 // a reused connection fails, so a new connection rules that out.
 func (cl *Client) clientFor(ca engine.Call) *http.Client {
--- a/internal/runner/client_test.go
+++ b/internal/runner/client_test.go
@@ -99,6 +99,16 @@
 		server fakes.RawServer
 		want   []result
 	}{
+		{
+			"a late second copy on a connection in use again", service,
+			fakes.RawServer{Answers: []string{echoed, previous + echoed}},
+			[]result{answered("1"), answered("2"), maybe},
+		},
+		{
+			"the same of a server that does not repeat the ID", service,
+			fakes.RawServer{Answers: []string{framed, unnamed + framed}},
+			[]result{answered("1"), answered("2"), answered("3")},
+		},
 		{"an unframed response", service, fakes.RawServer{Answers: []string{unframed + `{"a":1}`}}, []result{{Body: `{"a":1}`, Complete: true}}},
 		{"an unframed response that breaks off", service, fakes.RawServer{Answers: []string{unframed + `{"a":`}}, []result{maybe}},
 		{"an unframed response of a model that breaks off", model, fakes.RawServer{Answers: []string{unframed + `{"a":`}}, []result{maybe}},
