--- a/internal/gate/response.go
+++ b/internal/gate/response.go
@@ -58,10 +58,7 @@
 	data, err := io.ReadAll(io.LimitReader(ex.Response.Body, maxResponseBytes+1))
 	switch {
 	case err != nil:
-		if fw.ctx.Err() == nil && !fw.stalled.Load() {
-			fw.recordCrash(de, err)
-		}
-		return fw.incomplete(fault.Wrap(err, fault.Upstream, fault.MayHaveRun, "the endpoint's response is truncated"))
+		return fw.breakOff(de, err, "the endpoint's response is truncated")
 	case len(data) > maxResponseBytes:
 		return place.Failed, fault.New(fault.Upstream, fault.Ran, "the endpoint's response is too large")
 	case !ri.Genuine:
@@ -92,6 +89,14 @@
 	return place.Incomplete, err
 }
 
+// breakOff ends an attempt whose response broke off. Unless this instance canceled the attempt, the endpoint may have crashed.
+func (fw *forwarder) breakOff(de place.Decision, err error, message string) (place.Outcome, error) {
+	if fw.ctx.Err() == nil && !fw.stalled.Load() && !errors.Is(err, events.ErrTooLarge) {
+		fw.recordCrash(de, err)
+	}
+	return fw.incomplete(fault.Wrap(err, fault.Upstream, fault.MayHaveRun, message))
+}
+
 // relayStream relays complete events as they arrive.
 func (fw *forwarder) relayStream(ex *conns.Exchange, de place.Decision, at *place.Attempt, watch *stallWatch) (place.Outcome, error) {
 	pr := fw.request
@@ -100,17 +105,11 @@
 	for {
 		pr.updateCost(fw.eventCount)
 		data, err := rd.Next()
-		if errors.Is(err, io.EOF) && fw.endsTooEarly(ex) {
-			err = io.ErrUnexpectedEOF
-		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && !fw.endsTooEarly(ex) {
 			return fw.endStream(ex)
 		}
 		if err != nil {
-			if fw.ctx.Err() == nil && !fw.stalled.Load() {
-				fw.recordCrash(de, err)
-			}
-			return fw.incomplete(fault.Wrap(err, fault.Upstream, fault.MayHaveRun, "the stream broke off"))
+			return fw.breakOff(de, err, "the stream broke off")
 		}
 		if !events.HasData(data) {
 			if err := fw.relayComment(ex, data); err != nil {
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -106,7 +106,7 @@
 // endpoint starts an endpoint behind a proxy and registers it. length is the number of events in its streams; zero means no streams.
 func (wo *world) endpoint(service string, ix, length int) *stand.Endpoint {
 	id := fmt.Sprintf("%s-%d", service, ix)
-	en := stand.NewEndpoint(stand.EndpointConfig{ID: id, Service: service, Domain: "zone-a", Slots: 32, Events: length, Pause: eventInterval})
+	en := stand.NewEndpoint(stand.EndpointConfig{ID: id, Service: service, Domain: "zone-a", Slots: 32, Events: length, Pause: eventInterval, CrashPart: crashPart, RestartTime: crashTime})
 	wo.store.Put(wire.RegistrationTopic, id, en.Registration(wo.proxy(wo.serve(en)), "ready", 1))
 	return en
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,6 +33,11 @@
 	firstPrepaid = 40_000
 	// maxTopUp bounds the number of tokens that one top-up adds.
 	maxTopUp = 15_000
+	// crashPart is the part of prompts that crashes model endpoints. Two of crashEvery requests have it if they are for streams.
+	crashPart  = "dead"
+	crashEvery = 60
+	// crashTime is the time from such a crash until the endpoint accepts requests again.
+	crashTime = 300 * time.Millisecond
 	// callerTimeoutMillis is the timeout that a caller sends with its request.
 	callerTimeoutMillis = 4000
 )
@@ -57,8 +62,9 @@
 
 // outcome is the result of one request, as its caller sees it.
 type outcome struct {
-	// id is the request ID.
-	id string
+	// id is the request ID, which contains number.
+	id     string
+	number int64
 	// route is the name of the route: resume, stream, safe or unsafe.
 	route string
 	// status is zero if the caller got no response.
@@ -138,7 +144,7 @@
 		case 6:
 			wo.store.Compact()
 		case 7:
-			en.SetFault(stand.EndpointFault(random.IntN(6)))
+			en.SetFault(stand.EndpointFault(random.IntN(int(stand.EndlessEvents) + 1)))
 			group.Go(func() { time.Sleep(span); en.SetFault(stand.Healthy) })
 		case 8:
 			wo.prepaid += int64(random.IntN(maxTopUp))
@@ -167,7 +173,7 @@
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: 2 * callerTimeoutMillis * time.Millisecond}
 	for ctx.Err() == nil {
 		number := numbers.Add(1)
-		ou := outcome{id: fmt.Sprint("request-", number), route: []string{"resume", "stream", "safe", "unsafe"}[number%4]}
+		ou := outcome{id: fmt.Sprint("request-", number), number: number, route: []string{"resume", "stream", "safe", "unsafe"}[number%4]}
 		wo.call(client, wo.nodes[random.IntN(len(wo.nodes))], &ou)
 		jo.mu.Lock()
 		jo.list = append(jo.list, ou)
@@ -193,6 +199,9 @@
 	if isStream {
 		ca.Prompt, ca.Output = promptTokens, eventsPerStream*tokensPerEvent
 	}
+	if isStream && ou.number%crashEvery < 2 {
+		ca.Parts = []string{"aa", crashPart, fmt.Sprintf("%x", ou.number)}
+	}
 	ca.Set(rq.Header)
 	rs, err := client.Do(rq)
 	if err != nil {
--- a/pkg/blame/tracker.go
+++ b/pkg/blame/tracker.go
@@ -25,7 +25,7 @@
 	// keepTime is how long a crash counts as evidence. It exceeds blockTime, so that after a block a single crash renews it.
 	keepTime = 2 * blockTime
 	// maxTraits bounds the traits with recorded crashes; the one whose last crash is oldest makes room for a new one.
-	maxTraits = 4096
+	maxTraits = 1024
 )
 
 // Request identifies a request by what it has in common with others.
