Oplog: the writer does not ask the replica for its offset while it is locked

An instance of the first interface could freeze for good: the writer, looking for batches to send again, held its lock and asked the replica for its offset, while the replica, applying an entry, held its own lock and told the writer which batches were accepted. Callers would have seen no answers and the log no heartbeats. TestResendWhileEntryIsApplied brings the two together; it failed before and passes, three times under the race detector.

--- a/pkg/oplog/writer.go
+++ b/pkg/oplog/writer.go
@@ -286,6 +286,8 @@
 // nextToSend returns the first batch to send again, or nil. A batch is sent again if it was not acknowledged, or if it is
 // still in flight although the replica has applied its offset and resendAfter has passed.
 func (wr *Writer) nextToSend() *inFlightBatch {
+	// The replica calls Accepted while it is locked, so it must not be called with the writer locked.
+	applied := wr.config.Replica.Offset()
 	wr.mu.Lock()
 	defer wr.mu.Unlock()
 	now := wr.config.Clock()
@@ -293,7 +295,7 @@
 		if !ib.acked {
 			return ib
 		}
-		if now-ib.sentAt > resendAfter && wr.config.Replica.Offset() >= ib.offset {
+		if now-ib.sentAt > resendAfter && applied >= ib.offset {
 			return ib
 		}
 	}
--- a/pkg/oplog/writer_test.go
+++ b/pkg/oplog/writer_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/clementineweir/clementineweir/pkg/ledger"
 	"github.com/clementineweir/clementineweir/pkg/record"
 )
 
@@ -51,3 +53,66 @@
 		t.Error(diff)
 	}
 }
+
+// acceptingListener tells a writer of each applied entry once the writer looks for batches to send again, or after a while.
+type acceptingListener struct {
+	writer  *Writer
+	entered chan struct{}
+	resends chan struct{}
+}
+
+func (al *acceptingListener) StateReplaced(*ledger.State) {}
+
+func (al *acceptingListener) EntryApplied(*ledger.State, []ledger.Event) {
+	close(al.entered)
+	select {
+	case <-al.resends:
+	case <-time.After(200 * time.Millisecond):
+	}
+	al.writer.Accepted(1)
+}
+
+// TestResendWhileEntryIsApplied guards against a deadlock between a writer that looks for batches to send again and a replica that tells the
+// writer of an applied entry.
+func TestResendWhileEntryIsApplied(t *testing.T) {
+	var now atomic.Int64
+	now.Store(int64(time.Second))
+	var watched atomic.Bool
+	li := &acceptingListener{entered: make(chan struct{}), resends: make(chan struct{}, 16)}
+	re := NewReplica()
+	wr := NewWriter(WriterConfig{
+		Log: &lastEntryLog{}, Relay: NoRelay{}, Replica: re, Source: outcomeSource{}, Logger: logr.Discard(),
+		Clock: func() time.Duration {
+			if watched.Load() {
+				select {
+				case li.resends <- struct{}{}:
+				default:
+				}
+			}
+			return time.Duration(now.Load())
+		},
+		FlushInterval: time.Second, MinInterval: time.Second,
+	})
+	li.writer = wr
+	re.AddListener(li)
+	wr.Step(context.Background())
+	now.Add(int64(2 * resendAfter))
+	done := make(chan struct{}, 2)
+	go func() {
+		_ = re.Apply(Page{Entries: [][]byte{[]byte("an entry of another system")}})
+		done <- struct{}{}
+	}()
+	<-li.entered
+	watched.Store(true)
+	go func() {
+		wr.Step(context.Background())
+		done <- struct{}{}
+	}()
+	for range 2 {
+		select {
+		case <-done:
+		case <-time.After(5 * time.Second):
+			t.Fatal("the writer and the replica wait for each other")
+		}
+	}
+}
