--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -91,6 +91,19 @@
 	}
 }
 
+// openNetwork is a network with listeners that are open already, since the port of a closed one may be taken by another process.
+type openNetwork struct {
+	Network
+	open map[string]net.Listener
+}
+
+func (on *openNetwork) Listen(address string) (net.Listener, error) {
+	if li, ok := on.open[address]; ok {
+		return li, nil
+	}
+	return on.Network.Listen(address)
+}
+
 // startInstance runs an instance with the given TLS settings on free ports until the test ends.
 func startInstance(t *testing.T, platform string, se config.TLS) *Daemon {
 	t.Helper()
@@ -98,12 +111,13 @@
 	cf.TLS = se
 	cf.Instance.DrainGrace = 0
 	cf.Platform.LogAddress = platform
+	nw := &openNetwork{Network: NewSystemNetwork(), open: map[string]net.Listener{}}
 	for _, to := range []*string{&cf.Instance.CallerAddress, &cf.Instance.OperatorAddress, &cf.Instance.PeerAddress} {
 		li := listenAny(t)
 		*to = li.Addr().String()
-		_ = li.Close()
+		nw.open[*to] = li
 	}
-	da, err := New(Config{Settings: cf, Network: NewSystemNetwork(), Clock: NewSystemClock(), Logger: logr.Discard()})
+	da, err := New(Config{Settings: cf, Network: nw, Clock: NewSystemClock(), Logger: logr.Discard()})
 	if err != nil {
 		t.Fatal(err)
 	}
