--- a/internal/conns/exchange.go
+++ b/internal/conns/exchange.go
@@ -82,7 +82,8 @@
 	return ex, nil
 }
 
-// Framed reports whether the response has a length or chunks, so that its end does not depend on the end of the connection.
+// Framed reports whether the response has a length or chunks, or may have no body, so that its end does not depend on the end of the
+// connection.
 func (ex *Exchange) Framed() bool {
 	return ex.Response.ContentLength >= 0 || len(ex.Response.TransferEncoding) > 0
 }
--- a/internal/edge/path_test.go
+++ b/internal/edge/path_test.go
@@ -92,6 +92,7 @@
 		{"such a stream that ends before its first event", "stream", stand.UnframedEmpty, true, result{response{502, "", true, ""}, 1}},
 		{"a response without length and chunks", "safe", stand.Unframed, true, result{response{200, plain, true, ""}, 1}},
 		{"a response without length and chunks that is reset", "unsafe", stand.UnframedCut, true, result{response{502, "", true, ""}, 1}},
+		{"a response without length and chunks that ends before its first byte", "unsafe", stand.UnframedEmpty, true, result{response{502, "", true, ""}, 1}},
 		{"events beyond those that were paid for", "stream", stand.EndlessEvents, true, result{response{200, stream, false, ""}, 1}},
 		{"an event without end", "stream", stand.EndlessBody, true, result{response{502, "", true, ""}, 1}},
 		{"a response without end", "unsafe", stand.EndlessBody, true, result{response{502, "", true, ""}, 1}},
--- a/internal/gate/response.go
+++ b/internal/gate/response.go
@@ -56,6 +56,10 @@
 	pr := fw.request
 	pr.updateCost(fw.eventCount)
 	data, err := io.ReadAll(io.LimitReader(ex.Response.Body, maxResponseBytes+1))
+	if err == nil && len(data) == 0 && !ex.Framed() {
+		// As for a stream without events: the end of the connection is no proof of the end of the response.
+		err = io.ErrUnexpectedEOF
+	}
 	switch {
 	case err != nil:
 		return fw.breakOff(de, err, "the endpoint's response is truncated")
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -76,7 +78,13 @@
 				pr.hold(responsesStalled)
 			}
 		}
-		if _, werr := to.Write(buffer[:count]); werr != nil || err != nil {
+		_, werr := to.Write(buffer[:count])
+		if errors.Is(err, syscall.ECONNRESET) {
+			if tc, ok := to.(*net.TCPConn); ok {
+				_ = tc.SetLinger(0)
+			}
+		}
+		if werr != nil || err != nil {
 			return
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -46,7 +46,10 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{5, "the proxy turned the reset of an endpoint into a regular end, so that an unframed response looked complete"},
+	{8, "an unframed response without a body was taken as complete"},
+}
 
 // TestSoak sends requests while random faults affect the processes, connections, endpoints and the store. It checks the responses, the runs
 // at the endpoints and the number of tokens delivered.
