Gate: a resumed stream that ends before its first event has broken off again

Its stream had broken off, and the endpoint that resumed it closed an unframed response without an event; an empty resumption counted as complete. Events are now counted for each attempt. TestResumedStreamWithoutEvents failed before (4 of 12 requests) and passes. A caller that resumes a stream after its last event, at an endpoint that answers without framing, now gets 502 instead of an empty stream.

--- a/internal/edge/path_test.go
+++ b/internal/edge/path_test.go
@@ -130,6 +130,31 @@
 	}
 }
 
+// TestResumedStreamWithoutEvents guards against a stream that broke off, whose resumption ends without a further event, being taken as complete.
+func TestResumedStreamWithoutEvents(tt *testing.T) {
+	fl := newFleet(tt, fleetConfig{instances: 1, prepaid: plenty})
+	for ix := range 40 {
+		fl.send(fl.instances[0], request{id: fmt.Sprint("warm-", ix), route: "resume", key: testKey, prompt: 10, output: testEvents * testStride})
+	}
+	fl.models[0].SetFault(stand.Breaking)
+	fl.models[1].SetFault(stand.UnframedEmpty)
+	fl.models[2].SetFault(stand.UnframedEmpty)
+	resumed := 0
+	for ix := range 12 {
+		id := fmt.Sprint("request-", ix)
+		got := fl.send(fl.instances[0], request{id: id, route: "resume", key: testKey, prompt: 10, output: testEvents * testStride})
+		if got.Status == http.StatusOK && got.Complete {
+			tt.Errorf("%s got %d bytes as a complete stream, want an error", id, len(got.Body))
+		}
+		if got.Body == stand.Stream(id, testEvents/2) {
+			resumed++
+		}
+	}
+	if resumed == 0 {
+		tt.Error("no stream broke off after its first events, so the test shows nothing")
+	}
+}
+
 // TestStalledStreamWithComments guards against a stream that makes no progress but never ends, since its endpoint sends a comment now and then.
 func TestStalledStreamWithComments(tt *testing.T) {
 	fl := newFleet(tt, fleetConfig{instances: 1, prepaid: plenty})
--- a/internal/gate/response.go
+++ b/internal/gate/response.go
@@ -57,7 +57,7 @@
 	pr.updateCost(fw.eventCount)
 	data, err := io.ReadAll(io.LimitReader(ex.Response.Body, maxResponseBytes+1))
 	if err == nil && len(data) == 0 && !ex.Framed() {
-		// As for a stream without events: the end of the connection is no proof of the end of the response.
+		// As for a stream without events (see relayStream).
 		err = io.ErrUnexpectedEOF
 	}
 	switch {
@@ -106,10 +106,13 @@
 	pr := fw.request
 	rd := events.NewReader(ex.Response.Body)
 	resumed := fw.headerSent
+	// Without a length and chunks, the end of the connection is no proof of the end of the response, so an end before the first event counts
+	// as broken off.
+	received := 0
 	for {
 		pr.updateCost(fw.eventCount)
 		data, err := rd.Next()
-		if errors.Is(err, io.EOF) && !fw.endsTooEarly(ex) {
+		if errors.Is(err, io.EOF) && (received > 0 || ex.Framed()) {
 			return fw.endStream(ex)
 		}
 		if err != nil {
@@ -121,6 +124,7 @@
 			}
 			continue
 		}
+		received++
 		at.RecordFirstEvent(pr.now())
 		at.RecordActivity(pr.now())
 		watch.reset(fw.eventTimeout())
@@ -141,12 +145,6 @@
 	}
 }
 
-// endsTooEarly reports whether a stream without events is a response that broke off: without a length and chunks, the end of the connection is
-// no proof of the end of the response. Only a resumed stream may have no further event.
-func (fw *forwarder) endsTooEarly(ex *conns.Exchange) bool {
-	return fw.eventCount == 0 && fw.lastEventID == 0 && !ex.Framed()
-}
-
 // endStream finishes the response after the endpoint has ended the stream.
 func (fw *forwarder) endStream(ex *conns.Exchange) (place.Outcome, error) {
 	pr := fw.request
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -49,6 +50,7 @@
 }{
 	{5, "the proxy turned the reset of an endpoint into a regular end, so that an unframed response looked complete"},
 	{8, "an unframed response without a body was taken as complete"},
+	{33, "the resumption of a broken stream ended before its first event and was taken as complete"},
 }
 
 // TestSoak sends requests while random faults affect the processes, connections, endpoints and the store. It checks the responses, the runs
@@ -70,6 +72,8 @@
 	number int64
 	// route is the name of the route: resume, stream, safe or unsafe.
 	route string
+	// sends is the number of times that the HTTP client sent the request: it repeats one without a body if a kept connection fails.
+	sends int64
 	// status is zero if the caller got no response.
 	status int
 	// tokens is the number of tokens of the prompt and of the events received; it is zero for plain services.
@@ -206,7 +210,10 @@
 		ca.Parts = []string{"aa", crashPart, fmt.Sprintf("%x", ou.number)}
 	}
 	ca.Set(rq.Header)
-	rs, err := client.Do(rq)
+	var sends atomic.Int64
+	trace := &httptrace.ClientTrace{WroteHeaders: func() { sends.Add(1) }}
+	rs, err := client.Do(rq.WithContext(httptrace.WithClientTrace(rq.Context(), trace)))
+	ou.sends = sends.Load()
 	if err != nil {
 		return
 	}
@@ -254,7 +261,7 @@
 			wo.tt.Errorf("request %s on route %s ran %d times, want at most once", ou.id, ou.route, ran)
 		}
 		if ou.status == http.StatusServiceUnavailable && ran > 0 {
-			wo.tt.Errorf("request %s on route %s was refused with 503 (not run), but ran %d times", ou.id, ou.route, ran)
+			wo.tt.Errorf("request %s on route %s was refused with 503 (not run), but ran %d times; it was sent %d times", ou.id, ou.route, ran, ou.sends)
 		}
 		if ou.status >= 400 && ou.status < 500 && ou.status != http.StatusPaymentRequired {
 			wo.tt.Errorf("request %s on route %s was refused with the unexpected status %d", ou.id, ou.route, ou.status)
