Conns: a response that has no body is framed

A response to HEAD without a length counted as unframed, and since it is empty, as broken off: a caller would have got 502. Found by reading the change once more.

--- a/internal/conns/exchange.go
+++ b/internal/conns/exchange.go
@@ -56,6 +56,8 @@
 	stop     func() bool
 	written  chan struct{}
 	complete bool
+	// bodiless reports whether a response of this kind has no body, as to HEAD.
+	bodiless bool
 	once     sync.Once
 }
 
@@ -85,7 +87,7 @@
 // Framed reports whether the response has a length or chunks, or may have no body, so that its end does not depend on the end of the
 // connection.
 func (ex *Exchange) Framed() bool {
-	return ex.Response.ContentLength >= 0 || len(ex.Response.TransferEncoding) > 0
+	return ex.bodiless || ex.Response.ContentLength >= 0 || len(ex.Response.TransferEncoding) > 0
 }
 
 // SetReadDeadline sets the deadline for reading the response.
@@ -164,7 +166,8 @@
 		}
 		if rq.Matches(rs.Header, !ex.Reused) {
 			ex.Response = rs
-			ex.complete = rs.Body == http.NoBody
+			ex.bodiless = rs.Body == http.NoBody
+			ex.complete = ex.bodiless
 			rs.Body = &body{exchange: ex, source: rs.Body}
 			return nil
 		}
--- a/internal/edge/path_test.go
+++ b/internal/edge/path_test.go
@@ -130,6 +130,24 @@
 	}
 }
 
+// TestHeadWithoutLength checks that a response to HEAD, which has neither a body nor a length, is complete.
+func TestHeadWithoutLength(tt *testing.T) {
+	fl := newFleet(tt, fleetConfig{instances: 1, prepaid: plenty})
+	for _, en := range fl.plains {
+		en.SetFault(stand.UnframedEmpty)
+	}
+	rq := fl.build(fl.instances[0], request{id: "id", route: "safe", key: testKey})
+	rq.Method = http.MethodHead
+	rs, err := http.DefaultTransport.RoundTrip(rq)
+	if err != nil {
+		tt.Fatal(err)
+	}
+	_ = rs.Body.Close()
+	if diff := cmp.Diff(http.StatusOK, rs.StatusCode); diff != "" {
+		tt.Error(diff)
+	}
+}
+
 // TestResumedStreamWithoutEvents guards against a stream that broke off, whose resumption ends without a further event, being taken as complete.
 func TestResumedStreamWithoutEvents(tt *testing.T) {
 	fl := newFleet(tt, fleetConfig{instances: 1, prepaid: plenty})
