Soak: each process has a loopback address of its own

Each soak now listens on an address of 127.0.0.0/8 that follows from its process, and checks that what was served ran at its own endpoints.

--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -88,7 +88,14 @@
 
 // serve starts an HTTP server and returns its address.
 func (wo *world) serve(handler http.Handler) string {
-	se := httptest.NewServer(handler)
+	se := httptest.NewUnstartedServer(handler)
+	_ = se.Listener.Close()
+	li, err := net.Listen("tcp", loopback()+":0")
+	if err != nil {
+		wo.tt.Fatal(err)
+	}
+	se.Listener = li
+	se.Start()
 	wo.tt.Cleanup(se.CloseClientConnections)
 	return strings.TrimPrefix(se.URL, "http://")
 }
@@ -127,13 +134,21 @@
 	wo.store.Put(wire.OperatorTopic, wire.ConfigurationKey, data)
 }
 
+// loopback returns the loopback address of this process. Soaks that run beside each other have different ones: on a shared address an instance
+// could take the port of another soak's instance while that restarts, and serve its callers.
+func loopback() string {
+	const octet = 250
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/octet/octet%octet, 1+pid/octet%octet, 1+pid%octet)
+}
+
 // freeAddress returns an address with a free port below the ephemeral range. With a port of that range, the kernel could assign the port to
 // an outgoing connection while the instance restarts; the instance then failed with "bind: address already in use" (seeds 205, 221 and 248
 // with 7 instances).
 func (wo *world) freeAddress() string {
 	const firstPort, lastPort = 15_000, 30_000
-	for wo.port = max(wo.port, firstPort+os.Getpid()%1000*10) + 1; wo.port < lastPort; wo.port++ {
-		address := fmt.Sprint("127.0.0.1:", wo.port)
+	for wo.port = max(wo.port, firstPort) + 1; wo.port < lastPort; wo.port++ {
+		address := fmt.Sprintf("%s:%d", loopback(), wo.port)
 		li, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -31,7 +31,7 @@
 }
 
 func newProxy(target string) (*proxy, error) {
-	li, err := net.Listen("tcp", "127.0.0.1:0")
+	li, err := net.Listen("tcp", loopback()+":0")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -245,12 +245,15 @@
 		for _, ru := range en.Runs() {
 			runs[ru.ID]++
 			if ru.Team != "team-1" || ru.Key != "" {
-				wo.tt.Errorf("%s ran at an endpoint for team %q with the team key %q, want team-1 without a key", ru.ID, ru.Team, ru.Key)
+				wo.tt.Errorf("%q (%s) ran at an endpoint for team %q with the team key %q, want team-1 without a key", ru.ID, ru.Target, ru.Team, ru.Key)
 			}
 		}
 	}
 	for _, ou := range jo.list {
 		ran := runs[ou.id]
+		if ou.status == http.StatusOK && ran == 0 {
+			wo.tt.Errorf("request %s on route %s was served, but ran at no endpoint of this soak", ou.id, ou.route)
+		}
 		once := ou.route == "unsafe" || ou.route == "stream"
 		if once && ran > 1 {
 			wo.tt.Errorf("request %s on route %s ran %d times, want at most once", ou.id, ou.route, ran)
