Engine: a message is not blamed for a crash in the middle of its answer

TestStreamsBesideCrashesAreNotBlamed failed before; the routed interface had the same condition already.

--- a/pkg/engine/blame.go
+++ b/pkg/engine/blame.go
@@ -102,9 +102,10 @@
 	return len(rq.Parts) > 0 && en.parts.blocked(en.config.Clock(), rq.traits())
 }
 
-// recordPartCrash records that an endpoint crashed when it began to answer a request, and appends the observation to the log.
+// recordPartCrash records that an endpoint crashed when it began to answer a request, and appends the observation to the log. It has no effect if
+// the answer had begun: then the request ran beside the cause.
 func (en *Engine) recordPartCrash(ru *run, endpoint string) {
-	if len(ru.request.Parts) == 0 {
+	if len(ru.request.Parts) == 0 || ru.chunks > maxCrashChunks {
 		return
 	}
 	rq := ru.request.traits()
--- a/pkg/engine/run.go
+++ b/pkg/engine/run.go
@@ -30,8 +30,9 @@
 	usage           Usage
 	endpoint        string
 	attempts        int
-	// sentAt is the time when the last attempt began.
+	// sentAt is the time when the last attempt began, and chunks the number of parts of its response so far.
 	sentAt time.Duration
+	chunks int
 	// tried and triedDomains are the endpoints of the attempts so far and their failure domains.
 	tried        []string
 	triedDomains []string
@@ -169,7 +170,7 @@
 	ru.tried = append(ru.tried, ep.Name)
 	ru.triedDomains = append(ru.triedDomains, ep.Domain)
 	begin := en.config.Clock()
-	ru.sentAt = begin
+	ru.sentAt, ru.chunks = begin, 0
 	usage, err := en.config.Runner.Run(ctx, ru.call(ep), si)
 	ru.usage = usage
 	now := en.config.Clock()
@@ -260,8 +261,6 @@
 	run       *run
 	sink      Sink
 	delivered bool
-	// chunks is the number of parts of the response so far.
-	chunks int
 }
 
 func (ts *trackingSink) Head(status int, contentType string) error {
@@ -271,8 +270,8 @@
 
 func (ts *trackingSink) Chunk(data []byte) error {
 	ts.markDelivered()
-	ts.chunks++
-	if ts.chunks == maxCrashChunks+1 {
+	ts.run.chunks++
+	if ts.run.chunks == maxCrashChunks+1 {
 		ts.run.engine.recordPartAnswer(ts.run.request)
 	}
 	return ts.sink.Chunk(data)
