--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -81,7 +81,7 @@
 
 // RecordCrash records that an endpoint crashed when it began to answer the request, and shares the observation.
 func (qu *quarantine) RecordCrash(rq blame.Request, sentAt time.Duration, en *roster.Endpoint) {
-	process := processName(en)
+	process := en.Process()
 	qu.mu.Lock()
 	list := qu.tracker.RecordCrash(qu.config.Clock(), sentAt, rq, process)
 	for _, cr := range list {
@@ -232,11 +232,6 @@
 	}
 }
 
-// processName identifies a process of an endpoint, since a restarted one may keep its ID.
-func processName(en *roster.Endpoint) string {
-	return en.ID + "@" + strconv.FormatInt(en.StartedMillis, 36)
-}
-
 func traitName(hash uint64) string { return fmt.Sprintf("%016x", hash) }
 
 func crashKey(cr blame.Crash) string { return crashPrefix + traitName(cr.Trait) + "/" + cr.Process }
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -267,6 +267,9 @@
 	if ri.HasLoad {
 		at.RecordLoad(pr.now(), ri.Load)
 	}
+	if ri.HasRateLimit {
+		fw.recordRateLimit(de, at, ri.RateLimit)
+	}
 	if ri.Declined {
 		return place.Declined, fault.New(fault.Refused, fault.NotRun, "the endpoint declined the request")
 	}
--- a/internal/gate/protocol.go
+++ b/internal/gate/protocol.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/clementineweir/clementineweir/pkg/limit"
 	"github.com/clementineweir/clementineweir/pkg/place"
 )
 
@@ -51,6 +52,10 @@
 	HasLoad bool
 	// Load is the load that the endpoint reported, if HasLoad is set.
 	Load place.Load
+	// HasRateLimit reports whether the response says if the endpoint has a rate limit. Those that are not genuine do not.
+	HasRateLimit bool
+	// RateLimit is the endpoint's rate limit or the withdrawal of one, if HasRateLimit is set.
+	RateLimit limit.Statement
 }
 
 // Protocol decodes and encodes the headers of callers and endpoints.
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/clementineweir/clementineweir/pkg/limit"
 	"github.com/clementineweir/clementineweir/pkg/roster"
 	"github.com/clementineweir/clementineweir/pkg/route"
 )
@@ -55,6 +56,8 @@
 	// peerTokens is the estimated prefill backlog of requests that peers sent to the endpoint, at the time peerTokensAt, in tokens.
 	peerTokens   float64
 	peerTokensAt time.Duration
+	// rateLimit is the rate limit that the endpoint has named for all instances together.
+	rateLimit limit.Belief
 }
 
 // newState returns the state of a process that has no requests yet; capacity is the size of its KV memory in tokens, zero if unknown.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -67,6 +68,9 @@
 	return en.ID == other.ID && en.StartedMillis == other.StartedMillis && en.Address == other.Address
 }
 
+// Process returns a name of the process, since a restarted one may keep the ID of the endpoint.
+func (en Endpoint) Process() string { return en.ID + "@" + strconv.FormatInt(en.StartedMillis, 36) }
+
 // Change is a registration, or the end of one, as read from the store.
 type Change struct {
 	// ID is the ID of the endpoint.
