--- /dev/null
+++ b/internal/edge/ratelimit_test.go
@@ -0,0 +1,71 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const (
+	// limitSettleTime is the time from the first response that names a rate limit until the fleet must keep it.
+	limitSettleTime = 3 * time.Second
+	// limitWindow is the span in which requests to a limited endpoint are counted.
+	limitWindow = 4 * time.Second
+)
+
+// allowedArrivals returns the maximum number of requests in limitWindow at an endpoint with the given limit in requests a second: one and a half
+// times the limit plus five.
+func allowedArrivals(perSecond float64) int {
+	return int(1.5*perSecond*limitWindow.Seconds()) + 5
+}
+
+// loopCallers sends streams to all instances until the context ends and returns the number of responses by status.
+func (fl *fleet) loopCallers(ctx context.Context, callers int) map[int]int {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	var numbers atomic.Int64
+	statuses := map[int]int{}
+	for caller := range callers {
+		in := fl.instances[caller%len(fl.instances)]
+		group.Go(func() {
+			for ctx.Err() == nil {
+				rs := fl.send(in, request{
+					id: fmt.Sprint("limited-", numbers.Add(1)), route: "resume", key: testKey, prompt: 20, output: testEvents * testStride,
+				})
+				mu.Lock()
+				statuses[rs.Status]++
+				mu.Unlock()
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+	return statuses
+}
+
+// TestFleetExceedsNamedRateLimit sends many requests through four instances while one of three endpoints names a rate limit. The endpoint must
+// get no more than the limit from all instances together, and the other endpoints must serve the rest.
+func TestFleetExceedsNamedRateLimit(tt *testing.T) {
+	for _, perSecond := range []float64{2.5, 0} {
+		tt.Run(fmt.Sprint(perSecond, " a second"), func(tt *testing.T) {
+			tt.Parallel()
+			fl := newFleet(tt, fleetConfig{instances: 4, prepaid: 50_000_000})
+			limited := fl.models[0]
+			limited.SetRateLimit(fmt.Sprint(perSecond))
+			begun := time.Now()
+			ctx, cancel := context.WithTimeout(context.Background(), limitSettleTime+2*limitWindow)
+			defer cancel()
+			statuses := fl.loopCallers(ctx, 16)
+			if got, want := limited.MaxArrivals(begun.Add(limitSettleTime), limitWindow), allowedArrivals(perSecond); got > want {
+				tt.Errorf("the endpoint got %d requests in %s, want at most %d", got, limitWindow, want)
+			}
+			if len(statuses) != 1 || statuses[http.StatusOK] == 0 {
+				tt.Errorf("numbers of responses by status: %v, want only 200: two endpoints have no limit", statuses)
+			}
+		})
+	}
+}
