Place: requests to endpoints with rate limits need permits

Cause: the limit was read by nobody. Class of fault: a promise that the fleet owes together, with no instance in charge of it.

Change: one instance is the issuer for each process of an endpoint, by rendezvous hashing over the announced instances; it spaces permits by the limit (GCRA), and an instance sends to the endpoint only with one. Placement asks for a permit in the background and sends the request elsewhere meanwhile; if all endpoints are limited, callers are refused at once with a delay from the sum of the limits, in turns by team. A new issuer starts after the permits of its predecessor have expired, at half the rate until the handover is over. A peer that is asked but is not the issuer passes the ask on, and takes over only if the issuer does not answer it, too. Peers learn limits by notices. Older builds ignore notices and announcements' new field, and are never issuers.

Ruled out: equal shares (idle shares are lost, and 31 buckets hold 31 requests at once), one sender for each endpoint (idle if it has no callers), counting the sends that peers report (races of milliseconds double the rate).

--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -64,6 +64,7 @@
 		pause(ctx, sweepInterval)
 		ed.pool.Sweep()
 		ed.balancer.Prune(ed.roster.Contains)
+		ed.permits.prune(ed.config.Clock())
 	}
 	return nil
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -87,6 +87,7 @@
 	mesh            *mesh.Mesh
 	topics          map[string]mesh.RelayedTopic
 	transfers       *transfers
+	permits         *permits
 	configWatcher   *configWatcher
 	endpointWatcher *endpointWatcher
 	grantSyncs      []*grantSync
@@ -105,7 +106,9 @@
 	opened := ed.metrics.Counter("weir_endpoint_connections_opened_total")
 	ed.pool = conns.NewPool(opened.Inc)
 	ed.mesh = mesh.New(mesh.Config{
-		Self:  mesh.Member{Name: cf.Settings.Name, Address: cf.Settings.PeerAddress, Domain: cf.Settings.Domain},
+		Self: mesh.Member{
+			Name: cf.Settings.Name, Address: cf.Settings.PeerAddress, Domain: cf.Settings.Domain, IssuesPermits: true,
+		},
 		Clock: cf.Clock,
 	})
 	ed.topics = map[string]mesh.RelayedTopic{}
@@ -120,6 +123,7 @@
 		Clock: cf.Clock, Wall: func() time.Time { return cf.Stamp().Wall }, Notify: ed.notifyCrash, Logger: cf.Logger,
 	})
 	ed.transfers = &transfers{edge: ed, shortfallAt: map[string]time.Duration{}}
+	ed.permits = newPermits(ed)
 	ed.configWatcher = newConfigWatcher(ed)
 	ed.endpointWatcher = newEndpointWatcher(ed)
 	for ix, sh := range ed.quotas.Shards() {
@@ -158,6 +162,10 @@
 		ed.quarantine.applyNotice(*nt.Crash)
 		return
 	}
+	if nt.RateLimit != nil {
+		ed.applyRateLimitNotice(*nt.RateLimit)
+		return
+	}
 	ed.balancer.RecordPeerDispatch(ed.config.Clock(), nt.Endpoint, nt.PrefixID, nt.UncachedTokens)
 }
 
@@ -203,7 +211,7 @@
 	var group run.Group
 	loops := []func(context.Context) error{
 		ed.configWatcher.run, ed.endpointWatcher.run, ed.servers.run, ed.servers.runReadiness, ed.servers.runPeers, ed.runSweep, ed.runReload,
-		ed.notifier.RunSend, ed.notifier.RunReceive,
+		ed.notifier.RunSend, ed.notifier.RunReceive, ed.permits.run,
 	}
 	for _, gs := range ed.grantSyncs {
 		loops = append(loops, gs.run)
@@ -222,6 +230,7 @@
 
 func (ed *Edge) gauges() {
 	ed.metrics.Gauge("weir_usable_endpoints", func() float64 { return float64(ed.roster.UsableCount()) })
+	ed.metrics.Gauge("weir_rate_limited_endpoints", func() float64 { return float64(ed.balancer.RateLimited()) })
 	ed.metrics.Gauge("weir_log_lines_dropped", func() float64 { return float64(ed.config.Dropped()) })
 	ed.metrics.Gauge("weir_requests_in_flight", func() float64 { return float64(ed.servers.active.Load()) })
 	ed.metrics.Gauge("weir_plan_version", func() float64 {
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -57,7 +57,9 @@
 	for ctx.Err() == nil {
 		delay := gs.step(ctx)
 		gs.edge.transfers.returnSurplus(ctx, gs.quota)
-		gs.edge.retryBudget.SetInstances(gs.edge.fleetSize(gs.edge.config.Clock()))
+		size := gs.edge.fleetSize(gs.edge.config.Clock())
+		gs.edge.retryBudget.SetInstances(size)
+		gs.edge.balancer.SetInstances(size)
 		gs.await(ctx, delay)
 	}
 	return nil
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -26,6 +26,10 @@
 	// copyTokens is the number of prompt tokens that the endpoint was asked to copy from the endpoint copySource.
 	copyTokens int64
 	copySource string
+	// withheld is the number of endpoints without a permit for their rate limits when the last one was chosen, and permitFrom the issuer of the
+	// permit that was used, or empty.
+	withheld   int
+	permitFrom string
 	// quarantined reports whether the request was refused because it is expected to crash endpoints.
 	quarantined bool
 }
@@ -34,6 +38,7 @@
 	le.candidates = de.Candidates
 	le.timeToFirstEvent, le.queueTime = de.TimeToFirstEvent, de.QueueTime
 	le.uncachedTokens = de.UncachedTokens
+	le.withheld, le.permitFrom = de.Withheld, de.PermitFrom
 	le.copyTokens, le.copySource = de.CopyTokens, ""
 	if de.Source != nil {
 		le.copySource = de.Source.ID
@@ -135,6 +140,9 @@
 			"expected", seconds(le.timeToFirstEvent), "wait", seconds(le.queueTime), "unread", le.uncachedTokens,
 			"registrationsAge", seconds(pr.gate.config.Roster.Age(now)))
 	}
+	if le.withheld > 0 || le.permitFrom != "" {
+		args = append(args, "withheld", le.withheld, "permitFrom", le.permitFrom)
+	}
 	if le.copyTokens > 0 {
 		args = append(args, "copied", le.copyTokens, "copiedFrom", le.copySource)
 	}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -138,14 +138,20 @@
 func (fw *forwarder) choose() (place.Decision, error) {
 	pr := fw.request
 	cf := pr.gate.config
-	if de := fw.next.Swap(nil); de != nil && !slices.Contains(fw.tried, de.Endpoint.ID) {
-		pr.entry.recordDecision(*de)
-		return *de, nil
+	if de := fw.next.Swap(nil); de != nil {
+		if !slices.Contains(fw.tried, de.Endpoint.ID) {
+			pr.entry.recordDecision(*de)
+			return *de, nil
+		}
+		cf.Board.Release(*de)
 	}
 	now := pr.now()
 	de := cf.Board.Pick(now, pr.service, cf.Roster.Usable(pr.service.Name), pr.placement(fw.tried))
 	pr.entry.recordDecision(de)
 	if de.Endpoint == nil {
+		if de.Withheld > 0 {
+			cf.Metrics.Counter("weir_rate_limited_refusals_total").Inc()
+		}
 		return de, fault.New(fault.Overloaded, fault.NotRun, de.Reason).WithRetryAfter(de.RetryAfter)
 	}
 	if fw.attempts == 0 {
@@ -153,6 +159,7 @@
 		return de, nil
 	}
 	if !cf.Allowance.AllowRetry(now, pr.service.Name) {
+		cf.Board.Release(de)
 		return de, fault.New(fault.Overloaded, fault.NotRun, "the allowance for sending again is used up").WithRetryAfter(insufficientRetryAfter)
 	}
 	return de, nil
@@ -162,7 +169,7 @@
 func (pr *proxyRequest) placement(tried []string) place.Request {
 	return place.Request{
 		Prompt: pr.info.Prompt, Output: pr.info.Output, Parts: pr.info.Parts, Domain: pr.gate.config.Domain, Tried: tried,
-		Rank: pr.route.Priority, TimeLeft: pr.firstEventLimit(),
+		Rank: pr.route.Priority, TimeLeft: pr.firstEventLimit(), Team: pr.team,
 	}
 }
 
@@ -232,6 +239,9 @@
 	cf.Notifier.NotifyDispatch(de.Endpoint.ID, rq.PrefixID(), de.UncachedTokens)
 	fw.tried = append(fw.tried, de.Endpoint.ID)
 	fw.sentAt = pr.now()
+	if de.PermitFrom != "" {
+		cf.Metrics.Counter("weir_rate_limited_sends_total").Inc()
+	}
 	pr.entry.recordAttempt(de)
 	out, err := fw.exchange(de, at)
 	at.End(pr.now(), out)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -14,6 +14,7 @@
 	"github.com/clementineweir/clementineweir/internal/conns"
 	"github.com/clementineweir/clementineweir/pkg/blame"
 	"github.com/clementineweir/clementineweir/pkg/fault"
+	"github.com/clementineweir/clementineweir/pkg/limit"
 	"github.com/clementineweir/clementineweir/pkg/place"
 	"github.com/clementineweir/clementineweir/pkg/plan"
 	"github.com/clementineweir/clementineweir/pkg/quota"
@@ -67,6 +68,8 @@
 	// NotifyDispatch announces that this instance sent a prompt to an endpoint, and never blocks. prefixID identifies the shared prefix of the
 	// prompt. uncachedTokens is the number of prompt tokens that the endpoint has not cached.
 	NotifyDispatch(endpoint string, prefixID uint64, uncachedTokens int64)
+	// NotifyRateLimit announces what a response said about the rate limit of a process of an endpoint, and never blocks.
+	NotifyRateLimit(process string, st limit.Statement)
 }
 
 // Config holds the dependencies of a gate.
--- a/internal/gate/stall.go
+++ b/internal/gate/stall.go
@@ -71,5 +71,12 @@
 	pr := fw.request
 	cf := pr.gate.config
 	de := cf.Board.Pick(pr.now(), pr.service, cf.Roster.Usable(pr.service.Name), pr.placement(tried))
-	return de, de.Endpoint != nil && cf.Allowance.AllowRetry(pr.now(), pr.service.Name)
+	if de.Endpoint == nil {
+		return de, false
+	}
+	if !cf.Allowance.AllowRetry(pr.now(), pr.service.Name) {
+		cf.Board.Release(de)
+		return de, false
+	}
+	return de, true
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -52,6 +52,8 @@
 	Address string `json:"address"`
 	// Domain is the instance's failure domain.
 	Domain string `json:"domain"`
+	// IssuesPermits reports whether the instance issues permits for the rate limits of endpoints; older builds do not.
+	IssuesPermits bool `json:"issuesPermits,omitempty"`
 }
 
 // Config describes this instance.
--- a/internal/mesh/notifier.go
+++ b/internal/mesh/notifier.go
@@ -33,6 +33,18 @@
 	PrefixID uint64 `cbor:"3,keyasint,omitempty"`
 	// Crash is set instead of the other fields if the notice is of a crash; builds that do not know it discard the notice.
 	Crash *CrashNotice `cbor:"4,keyasint,omitempty"`
+	// RateLimit is set instead of the other fields if the notice is of a rate limit; builds that do not know it discard the notice.
+	RateLimit *RateLimitNotice `cbor:"5,keyasint,omitempty"`
+}
+
+// RateLimitNotice is the message by which an instance notifies others of what a response said about the rate limit of an endpoint.
+type RateLimitNotice struct {
+	// Process is the name of the process of the endpoint.
+	Process string `cbor:"1,keyasint"`
+	// Limited reports whether the response named a limit.
+	Limited bool `cbor:"2,keyasint,omitempty"`
+	// PerSecond is the limit in requests a second.
+	PerSecond float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // CrashNotice is the message by which an instance notifies others that a process of an endpoint crashed when it began to answer a request.
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -28,6 +28,8 @@
 	Topics map[string]RelayedTopic
 	// Giver lends this instance's tokens to the calling peers and accepts the tokens that they return.
 	Giver Lender
+	// Permits issues permits to the calling peers.
+	Permits PermitIssuer
 }
 
 type server struct {
--- a/pkg/place/attempt.go
+++ b/pkg/place/attempt.go
@@ -31,7 +31,10 @@
 	st.prefillBacklog += de.UncachedTokens
 	st.circuit.Begin()
 	st.cache.add(rq.Parts)
-	ba.locations.record(rq.PrefixID(), de.Endpoint.ID)
+	if !st.rateLimit.Limited {
+		// Requests with the same prefix could not follow to an endpoint with a rate limit.
+		ba.locations.record(rq.PrefixID(), de.Endpoint.ID)
+	}
 	return &Attempt{
 		balancer: ba, state: st, request: rq, startedAt: now,
 		expectedFirstEvent: de.TimeToFirstEvent, expectedUncached: de.UncachedTokens,
--- a/pkg/place/balancer.go
+++ b/pkg/place/balancer.go
@@ -50,12 +50,23 @@
 	// states are the known endpoints by ID.
 	states    map[string]*state
 	locations prefixLocations
-	// candidates are the states of the endpoints of the current decision; the slice is reused by the next decision.
-	candidates []*state
+	// candidates are the endpoints of the current decision, and withheld the states of those that may get no request for lack of a permit; the
+	// slices are reused by the next decision.
+	candidates []candidate
+	withheld   []*state
+	limits     rateLimits
+}
+
+// candidate is an endpoint that may get a request.
+type candidate struct {
+	endpoint *roster.Endpoint
+	state    *state
 }
 
 // NewBalancer returns a balancer that knows nothing of any endpoint.
-func NewBalancer() *Balancer { return &Balancer{states: map[string]*state{}} }
+func NewBalancer() *Balancer {
+	return &Balancer{states: map[string]*state{}, limits: newRateLimits()}
+}
 
 // Pick chooses one of the listed endpoints of a service for a request. It refuses the request if all endpoints were tried, or if no
 // response is expected in time.
@@ -69,26 +80,27 @@
 	if de.Endpoint == nil {
 		de = ba.pickFrom(now, se, list, rq, true)
 	}
+	ba.askForPermit(now)
+	if de.Endpoint == nil && len(ba.withheld) > 0 {
+		return ba.refuseLimited(now, se, rq, len(list))
+	}
 	if de.Endpoint == nil {
 		return Decision{Reason: "every endpoint was tried", RetryAfter: minRetryAfter, Candidates: len(list)}
 	}
-	return refuseLate(rq, de)
+	return ba.takePermit(now, refuseLate(rq, de))
 }
 
 // pickFrom chooses the endpoint with the lowest expected cost; with anyCircuit it also considers those whose circuit breaker is open.
 func (ba *Balancer) pickFrom(now time.Duration, se *plan.Service, list []*roster.Endpoint, rq Request, anyCircuit bool) Decision {
-	preferred := preferredEndpoint(list, rq)
+	ba.collect(now, se, list, rq, anyCircuit)
+	preferred := preferredEndpoint(ba.unlimited(list), rq)
 	holder := ba.prefixHolder(list, preferred, rq)
 	source := ba.copySource(now, se, holder, rq)
-	ba.candidates = ba.candidates[:0]
-	for _, en := range list {
-		ba.candidates = append(ba.candidates, ba.state(en, se))
-	}
 	weight := prefillWeight(now, ba.candidates, rq)
-	best := Decision{Candidates: len(list), Reason: "least expected time"}
+	best := Decision{Candidates: len(list), Withheld: len(ba.withheld), Reason: "least expected time"}
 	least := time.Duration(0)
-	for ix, en := range list {
-		st := ba.candidates[ix]
+	for _, ca := range ba.candidates {
+		en, st := ca.endpoint, ca.state
 		if slices.Contains(rq.Tried, en.ID) || (!anyCircuit && !st.circuit.Allows(now)) {
 			continue
 		}
@@ -206,6 +218,7 @@
 	st, ok := ba.states[en.ID]
 	if !ok || !st.endpoint.SameProcess(*en) {
 		st = newState(*en, se.KVCapacityTokens)
+		st.rateLimit = ba.limits.heard[en.Process()]
 		ba.states[en.ID] = st
 	}
 	return st
--- a/pkg/place/prefill.go
+++ b/pkg/place/prefill.go
@@ -18,13 +18,16 @@
 //
 // The weight grows with the queues. When prompts wait at all endpoints, each token that is prefilled twice delays all of them. A request
 // should then wait at the endpoint that has its prefix cached, rather than be prefilled at one that is slightly less busy.
-func prefillWeight(now time.Duration, candidates []*state, rq Request) float64 {
+func prefillWeight(now time.Duration, candidates []candidate, rq Request) float64 {
 	if rq.sharedTokens() == 0 {
 		return prefillFactor
 	}
 	smallest := int64(math.MaxInt64)
-	for _, st := range candidates {
-		smallest = min(smallest, st.prefillBacklog+st.peerBacklog(now))
+	for _, ca := range candidates {
+		smallest = min(smallest, ca.state.prefillBacklog+ca.state.peerBacklog(now))
+	}
+	if len(candidates) == 0 {
+		return prefillFactor
 	}
 	queueTime := time.Duration(float64(smallest) / prefillRate * float64(time.Millisecond))
 	return prefillFactor * (1 + prefillWaitFactor*queueTime.Seconds())
--- a/pkg/place/ratelimit.go
+++ b/pkg/place/ratelimit.go
@@ -1,17 +1,223 @@
 package place
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/clementineweir/clementineweir/pkg/limit"
+	"github.com/clementineweir/clementineweir/pkg/plan"
+	"github.com/clementineweir/clementineweir/pkg/roster"
 )
 
-// RecordRateLimit records what the endpoint's response says about its rate limit. It returns what this instance believed before, and reports
-// whether that has changed.
-func (at *Attempt) RecordRateLimit(now time.Duration, st limit.Statement) (limit.Statement, bool) {
+const (
+	// rateNoticeInterval is the interval at which the instances repeat the notice of a rate limit that responses keep naming.
+	rateNoticeInterval = 2 * time.Second
+	// maxHeard bounds the limits of processes that this instance knows only from peers.
+	maxHeard = 4096
+)
+
+// rateLimits is the part of a Balancer that deals with the rate limits of endpoints.
+type rateLimits struct {
+	// heard holds the limits, by process, that peers stated of processes to which this instance has not sent any request.
+	heard map[string]limit.Belief
+	// asks are the asks for permits that no loop has taken yet.
+	asks []limit.Ask
+	// wake receives a value when an ask is added.
+	wake chan struct{}
+	// returns spreads refused callers, by service.
+	returns map[string]*limit.Returns
+	// instances is the number of instances that share the limits.
+	instances int
+}
+
+func newRateLimits() rateLimits {
+	return rateLimits{heard: map[string]limit.Belief{}, wake: make(chan struct{}, 1), returns: map[string]*limit.Returns{}, instances: 1}
+}
+
+// SetInstances sets the number of instances that share the rate limits of endpoints.
+func (ba *Balancer) SetInstances(count int) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	ba.limits.instances = max(1, count)
+}
+
+// collect sorts the endpoints of a decision into candidates and withheld ones.
+func (ba *Balancer) collect(now time.Duration, se *plan.Service, list []*roster.Endpoint, rq Request, anyCircuit bool) {
+	ba.candidates, ba.withheld = ba.candidates[:0], ba.withheld[:0]
+	for _, en := range list {
+		st := ba.state(en, se)
+		switch {
+		case !st.rateLimit.Limited || st.permits.Usable(now):
+			ba.candidates = append(ba.candidates, candidate{endpoint: en, state: st})
+		case !slices.Contains(rq.Tried, en.ID) && (anyCircuit || st.circuit.Allows(now)):
+			ba.withheld = append(ba.withheld, st)
+		}
+	}
+}
+
+// unlimited returns the endpoints of the list without a rate limit, or the whole list if all have one. Only to them may requests with the same
+// prefix be directed.
+func (ba *Balancer) unlimited(list []*roster.Endpoint) []*roster.Endpoint {
+	limited := func(en *roster.Endpoint) bool { return ba.states[en.ID].rateLimit.Limited }
+	if !slices.ContainsFunc(list, limited) {
+		return list
+	}
+	out := slices.DeleteFunc(slices.Clone(list), limited)
+	if len(out) == 0 {
+		return list
+	}
+	return out
+}
+
+// askForPermit queues an ask for a permit of the withheld endpoint with the fewest requests of this instance, so that a later request can be sent
+// there. Each request causes one ask at most.
+func (ba *Balancer) askForPermit(now time.Duration) {
+	var chosen *state
+	for _, st := range ba.withheld {
+		if st.permits.Due(now) && (chosen == nil || st.running < chosen.running) {
+			chosen = st
+		}
+	}
+	if chosen == nil {
+		return
+	}
+	ba.limits.asks = append(ba.limits.asks, chosen.permits.BeginAsk(now, chosen.endpoint.Process(), chosen.rateLimit.PerSecond))
+	select {
+	case ba.limits.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Asks returns a channel that receives a value when TakeAsks has asks to return.
+func (ba *Balancer) Asks() <-chan struct{} { return ba.limits.wake }
+
+// TakeAsks returns the asks for permits that were queued since the last call. AnswerAsk must be called for each of them.
+func (ba *Balancer) TakeAsks() []limit.Ask {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	list := ba.limits.asks
+	ba.limits.asks = nil
+	return list
+}
+
+// AnswerAsk records the answer of the issuer to an ask that was sent at askedAt.
+func (ba *Balancer) AnswerAsk(now, askedAt time.Duration, ask limit.Ask, issuer string, gr limit.Grant) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	if st := ba.stateOfProcess(ask.Process); st != nil {
+		st.permits.EndAsk(now, askedAt, issuer, gr)
+	}
+}
+
+// takePermit uses a permit for the decision if its endpoint has a rate limit.
+func (ba *Balancer) takePermit(now time.Duration, de Decision) Decision {
+	if de.Endpoint == nil {
+		return de
+	}
+	if st := ba.states[de.Endpoint.ID]; st.rateLimit.Limited && st.permits.Usable(now) {
+		de.PermitFrom = st.permits.Take()
+	}
+	return de
+}
+
+// Release returns the permit of a decision whose request is not sent.
+func (ba *Balancer) Release(de Decision) {
+	if de.Endpoint == nil || de.PermitFrom == "" {
+		return
+	}
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	if st := ba.stateOfProcess(de.Endpoint.Process()); st != nil {
+		st.permits.PutBack()
+	}
+}
+
+// refuseLimited refuses a request because all endpoints that it could be sent to are at their rate limits. The delay until the retry follows
+// from this instance's share of the sum of the limits, and gives each team with refused requests an equal part of it.
+func (ba *Balancer) refuseLimited(now time.Duration, se *plan.Service, rq Request, candidates int) Decision {
+	sum := 0.0
+	for _, st := range ba.withheld {
+		sum += limit.UsableRate(st.rateLimit.PerSecond)
+	}
+	re, ok := ba.limits.returns[se.Name]
+	if !ok {
+		re = &limit.Returns{}
+		ba.limits.returns[se.Name] = re
+	}
+	return Decision{
+		Reason:     "every endpoint is at its rate limit",
+		RetryAfter: max(minRetryAfter, re.After(now, rq.Team, sum/float64(ba.limits.instances))),
+		Candidates: candidates, Withheld: len(ba.withheld),
+	}
+}
+
+// RateLimitChange is the effect of a statement about a rate limit on what this instance believes.
+type RateLimitChange struct {
+	// Before is what this instance believed before.
+	Before limit.Statement
+	// Changed reports whether it believes something else now.
+	Changed bool
+	// Notify reports whether the peers should be notified of the statement.
+	Notify bool
+}
+
+// RecordRateLimit records what the endpoint's response says about its rate limit.
+func (at *Attempt) RecordRateLimit(now time.Duration, st limit.Statement) RateLimitChange {
 	at.balancer.mu.Lock()
 	defer at.balancer.mu.Unlock()
-	before := at.state.rateLimit
-	at.state.rateLimit = before.WithResponse(now, at.startedAt, st)
-	return before.Statement, at.state.rateLimit.Statement != before.Statement
+	return at.state.believe(now, at.state.rateLimit.WithResponse(now, at.startedAt, st))
+}
+
+// believe sets the belief about the rate limit.
+func (st *state) believe(now time.Duration, be limit.Belief) RateLimitChange {
+	ch := RateLimitChange{Before: st.rateLimit.Statement, Changed: st.rateLimit.Statement != be.Statement}
+	st.rateLimit = be
+	if ch.Changed {
+		st.permits.ChangeLimit(now, ch.Before, be.Statement)
+	}
+	ch.Notify = ch.Changed || (be.Limited && now-st.rateNoticeAt >= rateNoticeInterval)
+	if ch.Notify {
+		st.rateNoticeAt = now
+	}
+	return ch
+}
+
+// RecordPeerRateLimit records what a response to a peer said about the rate limit of a process.
+func (ba *Balancer) RecordPeerRateLimit(now time.Duration, process string, statement limit.Statement) RateLimitChange {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	st := ba.stateOfProcess(process)
+	if st == nil {
+		if len(ba.limits.heard) >= maxHeard {
+			clear(ba.limits.heard)
+		}
+		be := ba.limits.heard[process]
+		ba.limits.heard[process] = be.WithNotice(now, statement)
+		return RateLimitChange{Before: be.Statement, Changed: be.Statement != ba.limits.heard[process].Statement}
+	}
+	st.rateNoticeAt = now
+	return st.believe(now, st.rateLimit.WithNotice(now, statement))
+}
+
+// stateOfProcess returns the state of a process by its name, or nil. The caller holds the lock.
+func (ba *Balancer) stateOfProcess(process string) *state {
+	st, ok := ba.states[process[:max(0, strings.LastIndexByte(process, '@'))]]
+	if !ok || st.endpoint.Process() != process {
+		return nil
+	}
+	return st
+}
+
+// RateLimited returns the number of endpoints that are believed to have a rate limit.
+func (ba *Balancer) RateLimited() int {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	count := 0
+	for _, st := range ba.states {
+		if st.rateLimit.Limited {
+			count++
+		}
+	}
+	return count
 }
--- a/pkg/place/request.go
+++ b/pkg/place/request.go
@@ -22,6 +22,8 @@
 	Output int64
 	// Parts are the parts of the prompt in order; the last one is not shared with other requests.
 	Parts []Part
+	// Team is the name of the caller's team, or empty.
+	Team string
 	// Domain is the failure domain of the instance that makes the decision.
 	Domain string
 	// Tried are the IDs of the endpoints to which the request was already sent; they are not chosen again.
@@ -70,6 +72,10 @@
 	CopyTokens int64
 	// Candidates is the number of endpoints in the list given to Pick.
 	Candidates int
+	// Withheld is the number of endpoints that could not be chosen because this instance had no permit for their rate limits.
+	Withheld int
+	// PermitFrom is the instance that issued the permit with which the request is sent, or empty if the endpoint has no rate limit.
+	PermitFrom string
 }
 
 // CopyAddress returns the address of Source, or an empty string.
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -58,6 +58,10 @@
 	peerTokensAt time.Duration
 	// rateLimit is the rate limit that the endpoint has named for all instances together.
 	rateLimit limit.Belief
+	// permits are this instance's permits for requests to the endpoint while it has a rate limit.
+	permits limit.Permits
+	// rateNoticeAt is the time of the last notice of the rate limit, sent or received.
+	rateNoticeAt time.Duration
 }
 
 // newState returns the state of a process that has no requests yet; capacity is the size of its KV memory in tokens, zero if unknown.
