--- a/internal/emul/result.go
+++ b/internal/emul/result.go
@@ -48,10 +48,12 @@
 	// RepeatedPrefillTokens is the part of PrefillTokens that was prefilled again: tokens of shared prompt parts that the same or another
 	// runner had prefilled before.
 	RepeatedPrefillTokens int64
+	// Limits says how the rate limits of the runners were kept, if there are any.
+	Limits LimitTally
 }
 
 func (si *simulation) result(policy string) Result {
-	re := Result{Scenario: si.scenario.Name, Policy: policy, All: tallyOf("all", si.requests)}
+	re := Result{Scenario: si.scenario.Name, Policy: policy, All: tallyOf("all", si.requests), Limits: si.limitTally()}
 	for _, cl := range si.scenario.Classes {
 		var list []*callerRequest
 		for _, cr := range si.requests {
--- a/internal/emul/runner.go
+++ b/internal/emul/runner.go
@@ -60,6 +60,8 @@
 	cache   prefixCache
 	// inStep is set while a step is in progress. It is cleared when the runner has nothing to prefill or to generate.
 	inStep bool
+	// arrivals are the times at which requests arrived.
+	arrivals []time.Duration
 	// prefillTokens and repeatedPrefillTokens are this runner's share of Result.PrefillTokens and Result.RepeatedPrefillTokens.
 	prefillTokens         int64
 	repeatedPrefillTokens int64
@@ -73,6 +75,7 @@
 
 // accept queues a request; source is the runner from whose cache shared parts should be copied, or nil.
 func (ru *runner) accept(jo *job, source *runner) {
+	ru.arrivals = append(ru.arrivals, ru.clock.now)
 	jo.source = source
 	jo.remainingPrefill = max(1, jo.request.Prompt-ru.cache.cachedTokens(jo.request.Parts))
 	ru.waiting = append(ru.waiting, jo)
--- a/internal/emul/scenario.go
+++ b/internal/emul/scenario.go
@@ -70,6 +70,8 @@
 	Surges []Surge
 	// HotPrefix is the shared prefix that is requested most, if there is one.
 	HotPrefix HotPrefix
+	// RateLimit is the rate limit that some runners name.
+	RateLimit RateLimit
 }
 
 // Runners and request classes of the two users' deployments, birligi and virtanen, after their growth. The lengths of shared prefixes are
@@ -113,7 +115,11 @@
 	overload.Surges = []Surge{{From: 6 * time.Second, To: 12 * time.Second, Factor: 4}}
 	hot := withName(virtanen, "hot-subject", "a third of the digests about one subject")
 	hot.HotPrefix = HotPrefix{Class: "digest", Share: 0.33}
-	return append(list, surge, overload, hot)
+	limited := withName(small, "limited", "two of nine runners take two requests a second each")
+	limited.RateLimit = RateLimit{Runners: 2, PerSecond: 2, From: 3 * time.Second, To: time.Hour}
+	limitedAll := withName(birligi, "limited-all", "every runner takes five requests a second")
+	limitedAll.RateLimit = RateLimit{Runners: limitedAll.Runners, PerSecond: 5, From: 3 * time.Second, To: time.Hour}
+	return append(list, surge, overload, hot, limited, limitedAll)
 }
 
 // FindScenario returns the scenario with the given name.
--- a/internal/emul/weir.go
+++ b/internal/emul/weir.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/clementineweir/clementineweir/pkg/limit"
 	"github.com/clementineweir/clementineweir/pkg/place"
 	"github.com/clementineweir/clementineweir/pkg/plan"
 	"github.com/clementineweir/clementineweir/pkg/roster"
@@ -21,15 +22,19 @@
 	service   *plan.Service
 	balancers []*place.Balancer
 	endpoints []*roster.Endpoint
+	// issuer issues the permits for runners with rate limits.
+	issuer *limit.Issuer
 }
 
 func newWeir(si *simulation) *weir {
 	config := si.scenario.Runner
-	we := &weir{sim: si, service: &plan.Service{
+	we := &weir{sim: si, issuer: limit.NewIssuer(), service: &plan.Service{
 		Name: "model", Slots: config.Slots, KVCapacityTokens: config.KVCapacityTokens, KVCopyRate: int64(config.CopyTokensPerMs * 1000),
 	}}
 	for range si.scenario.Instances {
-		we.balancers = append(we.balancers, place.NewBalancer())
+		ba := place.NewBalancer()
+		ba.SetInstances(si.scenario.Instances)
+		we.balancers = append(we.balancers, ba)
 	}
 	for _, ru := range si.runners {
 		we.endpoints = append(we.endpoints, ru.endpoint)
@@ -39,6 +44,7 @@
 
 func (we *weir) pick(instance int, rq place.Request) choice {
 	de := we.balancers[instance].Pick(we.sim.clock.now, we.service, we.endpoints, rq)
+	we.sendAsks(instance)
 	if de.Endpoint == nil {
 		return choice{retryAfter: de.RetryAfter}
 	}
@@ -54,7 +60,9 @@
 	if ch.decision.UncachedTokens >= minNoticeTokens {
 		clock.at(clock.now+noticeDelay, func() { we.notifyPeers(instance, rq, ch.decision) })
 	}
-	return &balancerAttempt{attempt: we.balancers[instance].Begin(clock.now, we.service, rq, ch.decision)}
+	return &balancerAttempt{
+		weir: we, instance: instance, runner: ch.runner, attempt: we.balancers[instance].Begin(clock.now, we.service, rq, ch.decision),
+	}
 }
 
 // notifyPeers records a dispatch of the instance with the index from in the balancers of all other instances.
@@ -68,11 +76,15 @@
 
 // balancerAttempt passes the progress of a request on to the balancer of its instance.
 type balancerAttempt struct {
-	attempt *place.Attempt
+	weir     *weir
+	instance int
+	runner   *runner
+	attempt  *place.Attempt
 }
 
 func (ba *balancerAttempt) firstToken(now time.Duration, load place.Load) {
 	ba.attempt.RecordLoad(now, load)
+	ba.weir.recordRateLimit(ba.instance, ba.attempt, ba.runner)
 	ba.attempt.RecordFirstEvent(now)
 	ba.attempt.RecordActivity(now)
 }
