Soak: endpoints name rate limits, change and withdraw them

One endpoint keeps a limit of 0 to 20 requests a second during the whole soak; the others name changing ones, zero, huge and invalid ones among them. Checked from what callers and endpoints see: an endpoint gets at most one and a half times its limit, plus five requests, in four seconds from instances that have relayed it.

--- a/internal/edge/ratelimit_test.go
+++ b/internal/edge/ratelimit_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/clementineweir/clementineweir/platform/stand"
 )
 
 const (
@@ -60,7 +63,8 @@
 			ctx, cancel := context.WithTimeout(context.Background(), limitSettleTime+2*limitWindow)
 			defer cancel()
 			statuses := fl.loopCallers(ctx, 16)
-			if got, want := limited.MaxArrivals(begun.Add(limitSettleTime), limitWindow), allowedArrivals(perSecond); got > want {
+			settled := slices.DeleteFunc(limited.Arrivals(), func(ar stand.Arrival) bool { return ar.At.Sub(begun) < limitSettleTime })
+			if got, want := stand.MaxArrivals(settled, limitWindow), allowedArrivals(perSecond); got > want {
 				tt.Errorf("the endpoint got %d requests in %s, want at most %d", got, limitWindow, want)
 			}
 			if len(statuses) != 1 || statuses[http.StatusOK] == 0 {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -75,6 +75,10 @@
 	status int
 	// tokens is the number of tokens of the prompt and of the events received; it is zero for plain services.
 	tokens int64
+	// instance is the name of the instance that got the request.
+	instance string
+	// headAt is the time when the caller received the header of the response, or zero.
+	headAt time.Time
 }
 
 // journal collects outcomes; it is safe for concurrent use.
@@ -86,6 +90,7 @@
 func soak(tt *testing.T, seed uint64) {
 	wo := newWorld(tt, *nodesFlag, firstPrepaid)
 	awaitReady(tt, wo)
+	limited := wo.limitRate(rand.New(rand.NewPCG(seed, 1001)))
 	var jo journal
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
@@ -102,6 +107,7 @@
 	cancel()
 	group.Wait()
 	wo.check(&jo)
+	limited.check(tt, &jo)
 	if after := len(jo.withStatus(http.StatusOK)); after == served && wo.tokens(&jo) < wo.prepaid*9/10 {
 		tt.Errorf("no request was served within two seconds after the faults had ended, although prepaid tokens remained")
 	}
@@ -129,7 +135,7 @@
 		no, pr := wo.nodes[random.IntN(len(wo.nodes))], wo.proxies[random.IntN(len(wo.proxies))]
 		en := append(append([]*stand.Endpoint{}, wo.modelEndpoints...), wo.plainEndpoints...)[random.IntN(5)]
 		span := time.Duration(100+random.IntN(1500)) * time.Millisecond
-		switch random.IntN(9) {
+		switch random.IntN(10) {
 		case 0:
 			wo.restart(no, syscall.SIGKILL)
 		case 1:
@@ -153,6 +159,9 @@
 		case 8:
 			wo.prepaid += int64(random.IntN(maxTopUp))
 			wo.configure()
+		case 9:
+			// The first endpoint keeps its limit during the whole soak (see limitRate).
+			wo.modelEndpoints[1+random.IntN(2)].SetRateLimit(rateLimitTexts[random.IntN(len(rateLimitTexts))])
 		}
 		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
 	}
@@ -167,6 +176,9 @@
 	for _, en := range append(append([]*stand.Endpoint{}, wo.modelEndpoints...), wo.plainEndpoints...) {
 		en.SetFault(stand.Healthy)
 	}
+	for _, en := range wo.modelEndpoints[1:] {
+		en.SetRateLimit("")
+	}
 	for _, no := range wo.nodes {
 		no.signal(syscall.SIGCONT)
 	}
@@ -208,10 +220,12 @@
 		ca.Parts = []string{"aa", crashPart, fmt.Sprintf("%x", ou.number)}
 	}
 	ca.Set(rq.Header)
+	ou.instance = no.name
 	rs, err := client.Do(rq)
 	if err != nil {
 		return
 	}
+	ou.headAt = time.Now()
 	defer func() { _ = rs.Body.Close() }()
 	data, err := io.ReadAll(rs.Body)
 	ou.status = rs.StatusCode
