Limits: a new issuer waits one interval before its first permit

The first permit of an issuer now counts as issued when those of its predecessor have expired. TestPermitsAfterIssuerStops has two of three instances stop.

--- a/internal/edge/ratelimit_test.go
+++ b/internal/edge/ratelimit_test.go
@@ -73,3 +73,34 @@
 		})
 	}
 }
+
+// TestPermitsAfterIssuerStops stops two of three instances one after the other. One of them may have been the issuer of the permits for the only
+// endpoints, which all name rate limits; the remaining instances must go on to get permits.
+func TestPermitsAfterIssuerStops(tt *testing.T) {
+	fl := newFleet(tt, fleetConfig{instances: 3, prepaid: 50_000_000})
+	for _, en := range fl.models {
+		en.SetRateLimit("5")
+	}
+	number := 0
+	serve := func(in *instance) func() bool {
+		return func() bool {
+			number++
+			rs := fl.send(in, request{id: fmt.Sprint("limited-", number), route: "resume", key: testKey, prompt: 20, output: testEvents * testStride})
+			if rs.Status == http.StatusServiceUnavailable && rs.RetryAfter == "" {
+				tt.Error("a request was refused without a delay until the retry")
+			}
+			return rs.Status == http.StatusOK && len(fl.models[0].Arrivals()) > 0
+		}
+	}
+	last := fl.instances[2]
+	fl.await("an endpoint has named its limit and serves", serve(last))
+	for _, in := range fl.instances[:2] {
+		in.stop()
+		<-in.done
+		before := len(fl.models[0].Arrivals())
+		fl.await("the first endpoint gets requests after an instance has stopped", func() bool {
+			serve(last)()
+			return len(fl.models[0].Arrivals()) > before
+		})
+	}
+}
--- a/pkg/limit/issuer.go
+++ b/pkg/limit/issuer.go
@@ -72,8 +72,6 @@
 
 // schedule is the state of the permits for one process.
 type schedule struct {
-	// notBefore is the earliest time at which a permit is valid: by then, permits of a former issuer have expired.
-	notBefore time.Duration
 	// last is the time from which the last permits are valid, and lastCount their number.
 	last      time.Duration
 	lastCount int
@@ -102,7 +100,7 @@
 func (is *Issuer) Issue(now time.Duration, instance string, ask Ask) Grant {
 	sc := is.schedule(now, ask)
 	interval := sc.interval(now, ask.PerSecond)
-	slot := max(now, sc.notBefore, sc.last+time.Duration(sc.lastCount)*interval)
+	slot := max(now, sc.last+time.Duration(sc.lastCount)*interval)
 	as, ok := sc.askers[instance]
 	if !ok {
 		as.servedAt = now - neverServed
@@ -126,7 +124,9 @@
 	sc, ok := is.schedules[ask.Process]
 	if !ok {
 		is.expire(now)
-		sc = &schedule{notBefore: now + PermitLifetime, halfRateUntil: now + handoverTime, last: -maxRetry, askers: map[string]asker{}}
+		// The permits of a former issuer may be valid until now + PermitLifetime. The first one of this issuer counts as issued by then, so that
+		// frequent changes of the issuer do not add up to more than the limit.
+		sc = &schedule{halfRateUntil: now + handoverTime, last: now + PermitLifetime, lastCount: 1, askers: map[string]asker{}}
 		is.schedules[ask.Process] = sc
 	}
 	sc.askedAt = now
