Limits: an instance learns the rate limits from a peer before it serves

All bursts came from instances that had restarted some 300 ms before and sent several requests at once before the first response named the limit. An instance now asks a peer for the limits after its first read of the announcements, and answers 'no configuration' for at most a second until then.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -137,8 +137,13 @@
 	return retry.Config{Ratio: se.RetryRatio, Headroom: float64(se.RetryHeadroom), Window: se.RetryWindow}
 }
 
-// Plan returns the configuration in force, or nil before the first one.
-func (ed *Edge) Plan() *plan.Plan { return ed.plan.Load() }
+// Plan returns the configuration in force. It returns nil before the first one, and until the instance has learned the rate limits of endpoints.
+func (ed *Edge) Plan() *plan.Plan {
+	if !ed.permits.learned.Load() {
+		return nil
+	}
+	return ed.plan.Load()
+}
 
 // Draining reports whether the instance is shutting down.
 func (ed *Edge) Draining() bool { return ed.draining.Load() }
@@ -230,7 +235,7 @@
 
 func (ed *Edge) gauges() {
 	ed.metrics.Gauge("weir_usable_endpoints", func() float64 { return float64(ed.roster.UsableCount()) })
-	ed.metrics.Gauge("weir_rate_limited_endpoints", func() float64 { return float64(ed.balancer.RateLimited()) })
+	ed.metrics.Gauge("weir_rate_limited_endpoints", func() float64 { return float64(len(ed.balancer.RateLimits())) })
 	ed.metrics.Gauge("weir_log_lines_dropped", func() float64 { return float64(ed.config.Dropped()) })
 	ed.metrics.Gauge("weir_requests_in_flight", func() float64 { return float64(ed.servers.active.Load()) })
 	ed.metrics.Gauge("weir_plan_version", func() float64 {
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/clementineweir/clementineweir/internal/mesh"
@@ -40,6 +41,8 @@
 	outages   outageLog
 	// readAt is the time of the last read of the other instances' rows.
 	readAt time.Duration
+	// loaded is set after the first successful read of the partition.
+	loaded atomic.Bool
 	// announced is set by the first step that succeeds. In the first partition, it appends this instance's announcement or withdrawal.
 	announced bool
 	// announcedAt is the time of this instance's last announcement.
@@ -91,6 +94,7 @@
 		return retryPause
 	}
 	gs.readAt = cf.Clock()
+	gs.loaded.Store(true)
 	gs.outages.recordSuccess(gs.readAt)
 	ba, err := gs.quota.Build(cf.Clock())
 	if err != nil {
--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/clementineweir/clementineweir/internal/gate"
@@ -17,6 +18,10 @@
 	issueLogInterval = 5 * time.Second
 	// issueLogExpiry is the time without asks after which the log state of a process is dropped.
 	issueLogExpiry = time.Minute
+	// learnTimeout bounds the time after the start in which an instance serves no requests because it learns the rate limits from its peers.
+	learnTimeout = time.Second
+	// learnPause is the pause between two checks whether the peers are known.
+	learnPause = 10 * time.Millisecond
 )
 
 // permits gets permits for requests to endpoints with rate limits, and issues them for those processes for which this instance is the issuer.
@@ -26,6 +31,8 @@
 	issuer *limit.Issuer
 	// logged holds what was last logged of each process.
 	logged map[string]issueLog
+	// learned is set once this instance knows the rate limits that its peers know, or cannot learn them.
+	learned atomic.Bool
 }
 
 // issueLog is the state of the issued permits at the time of a log line.
@@ -40,6 +47,7 @@
 
 // run sends the asks of this instance to their issuers until the context ends.
 func (ps *permits) run(ctx context.Context) error {
+	ps.learn(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -52,6 +60,28 @@
 	}
 }
 
+// learn gets the rate limits from a peer. Without them, an instance that has just started would send requests to limited endpoints until
+// the first response arrives.
+func (ps *permits) learn(ctx context.Context) {
+	defer ps.learned.Store(true)
+	lctx, cancel := context.WithTimeout(ctx, learnTimeout)
+	defer cancel()
+	for !ps.edge.grantSyncs[0].loaded.Load() && lctx.Err() == nil {
+		pause(lctx, learnPause)
+	}
+	limits, err := ps.edge.mesh.RateLimits(lctx)
+	if err != nil {
+		ps.edge.config.Logger.Info("no rate limits from peers", "reason", err.Error())
+		return
+	}
+	for process, perSecond := range limits {
+		ps.edge.applyRateLimitNotice(mesh.RateLimitNotice{Process: process, Limited: true, PerSecond: perSecond})
+	}
+}
+
+// RateLimits returns the rate limits that this instance knows of, in requests a second by process.
+func (ps *permits) RateLimits() map[string]float64 { return ps.edge.balancer.RateLimits() }
+
 // byIssuer groups asks by the instance that should answer them.
 func (ps *permits) byIssuer(asks []limit.Ask) map[string][]limit.Ask {
 	groups := map[string][]limit.Ask{}
--- a/internal/edge/ratelimit_test.go
+++ b/internal/edge/ratelimit_test.go
@@ -104,3 +104,40 @@
 		})
 	}
 }
+
+// TestStartedInstanceExceedsRateLimit sends many requests at once to an instance that has just started while all endpoints name rate limits. It must
+// have learned the limits from its peer.
+func TestStartedInstanceExceedsRateLimit(tt *testing.T) {
+	const burst = 20
+	fl := newFleet(tt, fleetConfig{instances: 1, prepaid: 50_000_000})
+	for _, en := range fl.models {
+		en.SetRateLimit("0")
+	}
+	send := func(in *instance, number int) response {
+		return fl.send(in, request{id: fmt.Sprint("limited-", number), route: "resume", key: testKey, prompt: 20, output: testEvents * testStride})
+	}
+	arrivals := func() int {
+		sum := 0
+		for _, en := range fl.models {
+			sum += len(en.Arrivals())
+		}
+		return sum
+	}
+	number := 0
+	fl.await("all endpoints have named their limits", func() bool {
+		number++
+		return send(fl.instances[0], number).Status == http.StatusServiceUnavailable
+	})
+	started := fl.start("instance-started")
+	fl.await("the instance is ready", started.edge.Ready)
+	before := arrivals()
+	var group sync.WaitGroup
+	for ix := range burst {
+		group.Go(func() { send(started, 1000+ix) })
+	}
+	group.Wait()
+	// Three endpoints may each get a request from either instance meanwhile.
+	if got, want := arrivals()-before, 2*len(fl.models); got > want {
+		tt.Errorf("the endpoints got %d requests, want at most %d", got, want)
+	}
+}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -133,7 +133,7 @@
 // serverInForce returns the server with the limits of the current configuration, and starts it if the limits have changed.
 func (sv *servers) serverInForce() *limitServer {
 	limits := plan.Limits{MaxHeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
-	if pl := sv.edge.Plan(); pl != nil {
+	if pl := sv.edge.plan.Load(); pl != nil {
 		limits = pl.Limits()
 	}
 	sv.mu.Lock()
--- a/internal/edge/watcher.go
+++ b/internal/edge/watcher.go
@@ -65,7 +65,7 @@
 		lo.Info("configuration rejected", "reason", err.Error(), "bytes", len(data))
 		return
 	}
-	current := cw.edge.Plan()
+	current := cw.edge.plan.Load()
 	if current != nil && next.Version() <= current.Version() {
 		return
 	}
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -24,6 +24,8 @@
 	// IssuePermits returns one grant for each ask of the named instance. Asks that another instance should answer are passed on to it unless
 	// forwarded is set.
 	IssuePermits(ctx context.Context, instance string, asks []limit.Ask, forwarded bool) []IssuedGrant
+	// RateLimits returns the rate limits that this instance knows of, in requests a second by process.
+	RateLimits() map[string]float64
 }
 
 // Issuer returns the name of the instance that issues the permits for a process of an endpoint: by rendezvous hashing, one of the instances that
@@ -105,3 +107,29 @@
 	}
 	return rs, nil
 }
+
+// RateLimits returns the rate limits that the first responding peer knows of, in requests a second by process.
+func (me *Mesh) RateLimits(ctx context.Context) (map[string]float64, error) {
+	var out map[string]float64
+	err := me.tryPeers(ctx, me.candidates(nil, maxRelays), 0, func(ctx context.Context, pe *peer) error {
+		rs, err := pe.client.RateLimits(ctx, &meshpb.RateLimitsRequest{})
+		if err != nil {
+			return err
+		}
+		out = make(map[string]float64, len(rs.GetLimits()))
+		for _, rl := range rs.GetLimits() {
+			out[rl.GetProcess()] = rl.GetPerSecond()
+		}
+		return nil
+	})
+	return out, err
+}
+
+// RateLimits answers a peer that has just started.
+func (se *server) RateLimits(context.Context, *meshpb.RateLimitsRequest) (*meshpb.RateLimitsResponse, error) {
+	rs := &meshpb.RateLimitsResponse{}
+	for process, perSecond := range se.config.Permits.RateLimits() {
+		rs.Limits = append(rs.Limits, &meshpb.RateLimit{Process: process, PerSecond: perSecond})
+	}
+	return rs, nil
+}
--- a/pkg/place/balancer.go
+++ b/pkg/place/balancer.go
@@ -219,6 +219,7 @@
 	if !ok || !st.endpoint.SameProcess(*en) {
 		st = newState(*en, se.KVCapacityTokens)
 		st.rateLimit = ba.limits.heard[en.Process()]
+		delete(ba.limits.heard, en.Process())
 		ba.states[en.ID] = st
 	}
 	return st
--- a/pkg/place/ratelimit.go
+++ b/pkg/place/ratelimit.go
@@ -209,15 +209,20 @@
 	return st
 }
 
-// RateLimited returns the number of endpoints that are believed to have a rate limit.
-func (ba *Balancer) RateLimited() int {
+// RateLimits returns the rate limits that this instance knows of, in requests a second by process.
+func (ba *Balancer) RateLimits() map[string]float64 {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
-	count := 0
+	out := map[string]float64{}
+	for process, be := range ba.limits.heard {
+		if be.Limited {
+			out[process] = be.PerSecond
+		}
+	}
 	for _, st := range ba.states {
 		if st.rateLimit.Limited {
-			count++
+			out[st.endpoint.Process()] = st.rateLimit.PerSecond
 		}
 	}
-	return count
+	return out
 }
