--- a/pkg/place/balancer.go
+++ b/pkg/place/balancer.go
@@ -54,7 +54,9 @@
 	// slices are reused by the next decision.
 	candidates []candidate
 	withheld   []*state
-	limits     rateLimits
+	// limited is the number of endpoints of the current decision that have a rate limit.
+	limited int
+	limits  rateLimits
 }
 
 // candidate is an endpoint that may get a request.
--- a/pkg/place/ratelimit.go
+++ b/pkg/place/ratelimit.go
@@ -44,9 +44,12 @@
 
 // collect sorts the endpoints of a decision into candidates and withheld ones.
 func (ba *Balancer) collect(now time.Duration, se *plan.Service, list []*roster.Endpoint, rq Request, anyCircuit bool) {
-	ba.candidates, ba.withheld = ba.candidates[:0], ba.withheld[:0]
+	ba.candidates, ba.withheld, ba.limited = ba.candidates[:0], ba.withheld[:0], 0
 	for _, en := range list {
 		st := ba.state(en, se)
+		if st.rateLimit.Limited {
+			ba.limited++
+		}
 		switch {
 		case !st.rateLimit.Limited || st.permits.Usable(now):
 			ba.candidates = append(ba.candidates, candidate{endpoint: en, state: st})
@@ -56,18 +59,13 @@
 	}
 }
 
-// unlimited returns the endpoints of the list without a rate limit, or the whole list if all have one. Only to them may requests with the same
+// unlimited returns the endpoints of the collected list without a rate limit, or the whole list if all have one. Only to them may requests with the same
 // prefix be directed.
 func (ba *Balancer) unlimited(list []*roster.Endpoint) []*roster.Endpoint {
-	limited := func(en *roster.Endpoint) bool { return ba.states[en.ID].rateLimit.Limited }
-	if !slices.ContainsFunc(list, limited) {
+	if ba.limited == 0 || ba.limited == len(list) {
 		return list
 	}
-	out := slices.DeleteFunc(slices.Clone(list), limited)
-	if len(out) == 0 {
-		return list
-	}
-	return out
+	return slices.DeleteFunc(slices.Clone(list), func(en *roster.Endpoint) bool { return ba.states[en.ID].rateLimit.Limited })
 }
 
 // askForPermit queues an ask for a permit of the withheld endpoint with the fewest requests of this instance, so that a later request can be sent
