--- a/internal/edge/registrations.go
+++ b/internal/edge/registrations.go
@@ -108,6 +108,6 @@
 		}
 		en := ch.Endpoint
 		ew.edge.config.Logger.Info("endpoint", "endpoint", en.ID, "service", en.Service, "address", en.Address,
-			"domain", en.Domain, "leaving", en.Leaving, "started", en.StartedMillis, "sequence", en.Sequence, "offset", ew.view.Next())
+			"domain", en.Domain, "version", en.Version, "leaving", en.Leaving, "started", en.StartedMillis, "sequence", en.Sequence, "offset", ew.view.Next())
 	}
 }
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -17,7 +17,9 @@
 	status       int
 	firstEventAt time.Duration
 	endpoints    []string
-	candidates   int
+	// versions are the software versions of the endpoints.
+	versions   []string
+	candidates int
 	// timeToFirstEvent and queueTime are the estimates that were made when the last endpoint was chosen.
 	timeToFirstEvent time.Duration
 	queueTime        time.Duration
@@ -47,6 +49,7 @@
 
 func (le *logEntry) recordAttempt(de place.Decision) {
 	le.endpoints = append(le.endpoints, de.Endpoint.ID)
+	le.versions = append(le.versions, de.Endpoint.Version)
 }
 
 // statusCode returns the HTTP status for a failure: 502 or 504 if the request may have run, and any other status if it did not run.
@@ -136,10 +139,13 @@
 		args = append(args, "route", pr.route.Name, "service", pr.service.Name)
 	}
 	if le.candidates > 0 {
-		args = append(args, "endpoints", strings.Join(le.endpoints, ","), "candidates", le.candidates,
+		args = append(args, "endpoints", strings.Join(le.endpoints, ","), "versions", strings.Join(le.versions, ","), "candidates", le.candidates,
 			"expected", seconds(le.timeToFirstEvent), "wait", seconds(le.queueTime), "unread", le.uncachedTokens,
 			"registrationsAge", seconds(pr.gate.config.Roster.Age(now)))
 	}
+	if pr.info.LastEvent > 0 || pr.info.Resumes != "" {
+		args = append(args, "resumes", pr.info.Resumes, "lastEvent", pr.info.LastEvent)
+	}
 	if le.withheld > 0 || le.permitFrom != "" {
 		args = append(args, "withheld", le.withheld, "permitFrom", le.permitFrom)
 	}
--- a/internal/gate/protocol.go
+++ b/internal/gate/protocol.go
@@ -26,6 +26,8 @@
 	Parts []place.Part
 	// LastEvent is the ID of the last event that the caller has received of the stream, or zero.
 	LastEvent int64
+	// Resumes is the ID of the request that began the stream, if the caller resumes one, or empty.
+	Resumes string
 }
 
 // ForwardInfo holds the values that the gate adds to a request for an endpoint.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -29,6 +29,8 @@
 	Address string
 	// Domain is the failure domain of the endpoint.
 	Domain string
+	// Version is the version of the endpoint's software; empty if the registration does not state it. Versions have no order.
+	Version string
 	// Slots is the number of requests that the endpoint runs at once; zero if the registration does not state it.
 	Slots int
 	// Leaving is true if the endpoint drains: it finishes the requests in flight and gets no new ones.
