--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -54,6 +54,8 @@
 type fleetConfig struct {
 	instances int
 	prepaid   int64
+	// versions are the software versions of the model endpoints; empty means three of the same version.
+	versions []string
 }
 
 // manifest returns an operator's configuration with one route of each kind.
@@ -73,9 +75,14 @@
 func newFleet(tt testing.TB, fc fleetConfig) *fleet {
 	fl := &fleet{tt: tt, store: stand.NewStore(), addresses: map[string]string{}}
 	fl.storeURL = fl.listen(fl.store)
-	for ix := range 3 {
+	if len(fc.versions) == 0 {
+		fc.versions = []string{"v1", "v1", "v1"}
+	}
+	for ix, version := range fc.versions {
 		id := fmt.Sprint("model-", ix)
-		fl.models = append(fl.models, fl.addEndpoint(id, stand.EndpointConfig{ID: id, Service: "model", Domain: "zone-a", Slots: 32, Events: testEvents}))
+		fl.models = append(fl.models, fl.addEndpoint(id, stand.EndpointConfig{
+			ID: id, Service: "model", Domain: "zone-a", Slots: 32, Events: testEvents, Version: version,
+		}))
 	}
 	for ix := range 2 {
 		id := fmt.Sprint("plain-", ix)
