--- a/internal/edge/path_test.go
+++ b/internal/edge/path_test.go
@@ -167,7 +167,7 @@
 	fl.send(fl.instances[0], request{id: "id", route: "unsafe", key: testKey, body: "the body", header: map[string]string{
 		stand.HeaderTeam: "team-9", stand.HeaderEndpoint: "other", "Connection": "X-Hop", "X-Hop": "1", stand.HeaderRetention: "r",
 	}})
-	want := []stand.Run{{ID: "id", Team: testTeam, Target: "/unsafe/x?q=1", Body: "the body", Ended: true}}
+	want := []stand.Run{{ID: "id", Team: testTeam, Target: "/unsafe/x?q=1", Body: "the body", Version: "v1", Ended: true}}
 	if diff := cmp.Diff(want, fl.runsOf("id")); diff != "" {
 		tt.Error(diff)
 	}
