Streams go on only at the software version that began them

Cause: the version in an endpoint's registration was dropped when it was decoded, and placement took all endpoints of a service as alike. Class of fault: an identity that is lost at a boundary, after which different things count as interchangeable.

Change: the first relayed part of a response fixes the build of the stream, and all later attempts choose among endpoints of that build. For callers that resume at another instance, the instance that began a stream keeps its origin and, unless the service has had one build only for 30 s, sends it to two holders before the first event is relayed, by a datagram; when a second build appears, and at a stop, origins that were not sent follow. An instance that gets a resumption asks the holders, then up to eight other peers. An unknown origin is refused as not run if several builds may have begun streams. A planned second attempt is dropped if the first event of the first attempt came meanwhile from another build. Resumptions are not refused to leave capacity for others. An endpoint without a version shares its build with no other process.

Ruled out: a notice of each stream to all peers (13,000 datagrams a second at 31 instances), a record in the store for each stream (the store may be unreachable), asking all peers at each resumption.

Older builds discard the notices, are never holders, and resume streams as before; their own streams are unknown here.

--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -45,6 +45,7 @@
 	sctx, cancel := context.WithDeadline(loops, ends)
 	defer cancel()
 	ed.servers.shutdown(sctx)
+	ed.origins.shareAll()
 	settled := ed.awaitSettled(loops, begun.Add(ed.config.Settings.Grace-exitMargin))
 	ed.config.Logger.Info("drained", "took", time.Since(begun).Seconds(), "settled", settled)
 	return errDrained
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -88,6 +88,7 @@
 	topics          map[string]mesh.RelayedTopic
 	transfers       *transfers
 	permits         *permits
+	origins         *origins
 	configWatcher   *configWatcher
 	endpointWatcher *endpointWatcher
 	grantSyncs      []*grantSync
@@ -107,7 +108,8 @@
 	ed.pool = conns.NewPool(opened.Inc)
 	ed.mesh = mesh.New(mesh.Config{
 		Self: mesh.Member{
-			Name: cf.Settings.Name, Address: cf.Settings.PeerAddress, Domain: cf.Settings.Domain, IssuesPermits: true,
+			Name: cf.Settings.Name, Address: cf.Settings.PeerAddress, Domain: cf.Settings.Domain,
+			IssuesPermits: true, HoldsOrigins: true,
 		},
 		Clock: cf.Clock,
 	})
@@ -124,6 +126,7 @@
 	})
 	ed.transfers = &transfers{edge: ed, shortfallAt: map[string]time.Duration{}}
 	ed.permits = newPermits(ed)
+	ed.origins = newOrigins(ed)
 	ed.configWatcher = newConfigWatcher(ed)
 	ed.endpointWatcher = newEndpointWatcher(ed)
 	for ix, sh := range ed.quotas.Shards() {
@@ -167,6 +170,10 @@
 		ed.quarantine.applyNotice(*nt.Crash)
 		return
 	}
+	if len(nt.Origins) > 0 {
+		ed.origins.applyNotice(nt.Origins)
+		return
+	}
 	if nt.RateLimit != nil {
 		ed.applyRateLimitNotice(*nt.RateLimit)
 		return
@@ -247,6 +254,9 @@
 	})
 }
 
+// Members returns the names of the instances that this one knows, including itself.
+func (ed *Edge) Members() []string { return ed.mesh.Members() }
+
 // TeamBalance returns this instance's share of a team's prepaid total.
 func (ed *Edge) TeamBalance(team string) quota.Balance {
 	return ed.quotas.Shard(team).Balance(ed.config.Clock(), team)
--- a/internal/edge/registrations.go
+++ b/internal/edge/registrations.go
@@ -54,6 +54,7 @@
 		}
 		ew.outages.recordSuccess(now)
 		ew.edge.roster.ReadSucceeded(now)
+		ew.edge.origins.shareMixed()
 		ew.loaded.Store(true)
 		pause(ctx, registrationPause)
 	}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -64,7 +64,7 @@
 func newServers(ed *Edge) *servers {
 	return &servers{edge: ed, handler: gate.New(gate.Config{
 		Protocol: ed.config.Platform.Protocol, Beliefs: ed, Roster: ed.roster, Board: ed.balancer, Purses: ed.quotas,
-		Allowance: ed.retryBudget, Pool: ed.pool, Quarantine: ed.quarantine, Lender: ed.transfers, Notifier: ed, Metrics: ed.metrics,
+		Allowance: ed.retryBudget, Pool: ed.pool, Quarantine: ed.quarantine, Origins: ed.origins, Lender: ed.transfers, Notifier: ed, Metrics: ed.metrics,
 		Clock: ed.config.Clock, Domain: ed.config.Settings.Domain, Logger: ed.config.Logger,
 	})}
 }
@@ -200,7 +200,9 @@
 
 // runPeers serves the calls of the other instances.
 func (sv *servers) runPeers(ctx context.Context) error {
-	return serve(ctx, sv.peers, mesh.NewServer(mesh.ServerConfig{Topics: sv.edge.topics, Giver: sv.edge.transfers, Permits: sv.edge.permits}))
+	return serve(ctx, sv.peers, mesh.NewServer(mesh.ServerConfig{
+		Topics: sv.edge.topics, Giver: sv.edge.transfers, Permits: sv.edge.permits, Origins: sv.edge.origins,
+	}))
 }
 
 // serve runs an HTTP server on a listener until the context ends.
--- a/internal/edge/versions_test.go
+++ b/internal/edge/versions_test.go
@@ -49,6 +49,9 @@
 	const count = 30
 	fl := newFleet(tt, fleetConfig{instances: 3, prepaid: 50_000_000, versions: twoVersions})
 	fl.setFaults(stand.Breaking)
+	for _, in := range fl.instances[1:] {
+		fl.await("the instance knows its peers", func() bool { return len(in.edge.Members()) == len(fl.instances) })
+	}
 	type begun struct {
 		id     string
 		events int
@@ -80,3 +83,71 @@
 		tt.Errorf("%d of %d streams were resumed by their callers, want all: two endpoints of each version serve", resumed, count)
 	}
 }
+
+// TestResumedStreamOfUnknownVersion resumes streams whose beginning no instance knows. With several versions they are refused before they run; with one
+// version they go on.
+func TestResumedStreamOfUnknownVersion(tt *testing.T) {
+	cases := []struct {
+		name     string
+		versions []string
+		resumes  string
+		want     int
+	}{
+		{"several versions", twoVersions, "unknown", http.StatusServiceUnavailable},
+		{"several versions, the beginning is not named", twoVersions, "", http.StatusServiceUnavailable},
+		{"one version", []string{"v1", "v1"}, "unknown", http.StatusOK},
+		{"one version, the beginning is not named", []string{"v1", "v1"}, "", http.StatusOK},
+	}
+	for _, tc := range cases {
+		tt.Run(tc.name, func(tt *testing.T) {
+			fl := newFleet(tt, fleetConfig{instances: 1, prepaid: 50_000_000, versions: tc.versions})
+			rq := streamRequest("resumed", 1)
+			rq.header = map[string]string{stand.HeaderLastEvent: "2"}
+			if tc.resumes != "" {
+				rq.header[stand.HeaderResumes] = tc.resumes
+			}
+			got := fl.send(fl.instances[0], rq)
+			if got.Status != tc.want {
+				tt.Errorf("status %d, want %d", got.Status, tc.want)
+			}
+			if got.Status != http.StatusOK && (got.RetryAfter == "" || len(fl.runsOf(rq.id)) > 0) {
+				tt.Errorf("refused with Retry-After %q after %d runs, want a delay and no run", got.RetryAfter, len(fl.runsOf(rq.id)))
+			}
+		})
+	}
+}
+
+// TestStreamGoesOnAfterItsInstanceStops stops the instance that began streams. The others must know their versions.
+func TestStreamGoesOnAfterItsInstanceStops(tt *testing.T) {
+	const count = 20
+	fl := newFleet(tt, fleetConfig{instances: 4, prepaid: 50_000_000, versions: twoVersions})
+	for _, in := range fl.instances {
+		fl.await("the instance knows its peers", func() bool { return len(in.edge.Members()) == len(fl.instances) })
+	}
+	fl.setFaults(stand.Breaking)
+	events := make([]int, count)
+	for number := range count {
+		_, events[number] = fl.brokenStream(fl.instances[0], number)
+	}
+	fl.instances[0].stop()
+	<-fl.instances[0].done
+	fl.setFaults(stand.Healthy)
+	resumed := 0
+	for number := range count {
+		id := fmt.Sprint("begun-", number)
+		rq := streamRequest(fmt.Sprint("resumed-", number), number)
+		rq.header = map[string]string{stand.HeaderLastEvent: fmt.Sprint(events[number]), stand.HeaderResumes: id}
+		if got := fl.send(fl.instances[1+number%3], rq); got.Status == http.StatusOK && got.Complete {
+			resumed++
+		}
+		for _, ru := range fl.runsOf(rq.id) {
+			if version := fl.beganAt(id); ru.Version != version {
+				tt.Errorf("stream %s went on at version %s, want %s", id, ru.Version, version)
+			}
+		}
+	}
+	// Datagrams may be lost, and each stream has two holders.
+	if resumed < count*9/10 {
+		tt.Errorf("%d of %d streams were resumed, want nine tenths", resumed, count)
+	}
+}
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -32,6 +32,8 @@
 	// permit that was used, or empty.
 	withheld   int
 	permitFrom string
+	// buildSource says from where the build of a resumed stream is known.
+	buildSource string
 	// quarantined reports whether the request was refused because it is expected to crash endpoints.
 	quarantined bool
 }
@@ -144,7 +146,7 @@
 			"registrationsAge", seconds(pr.gate.config.Roster.Age(now)))
 	}
 	if pr.info.LastEvent > 0 || pr.info.Resumes != "" {
-		args = append(args, "resumes", pr.info.Resumes, "lastEvent", pr.info.LastEvent)
+		args = append(args, "resumes", pr.info.Resumes, "lastEvent", pr.info.LastEvent, "versionFrom", le.buildSource)
 	}
 	if le.withheld > 0 || le.permitFrom != "" {
 		args = append(args, "withheld", le.withheld, "permitFrom", le.permitFrom)
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -18,6 +18,7 @@
 	"github.com/clementineweir/clementineweir/pkg/fault"
 	"github.com/clementineweir/clementineweir/pkg/place"
 	"github.com/clementineweir/clementineweir/pkg/plan"
+	"github.com/clementineweir/clementineweir/pkg/roster"
 )
 
 const (
@@ -52,6 +53,9 @@
 	ctx, cancel := context.WithTimeout(pr.httpRequest.Context(), pr.timeLeft())
 	defer cancel()
 	fw := &forwarder{request: pr, ctx: ctx, lastEventID: pr.info.LastEvent}
+	if err := fw.findBuild(); err != nil {
+		return fw.conclude(err)
+	}
 	return fw.run()
 }
 
@@ -104,6 +108,10 @@
 	eventCount int64
 	// headerSent reports whether the caller has received the response header.
 	headerSent bool
+	// endpoint is the endpoint of the last attempt.
+	endpoint *roster.Endpoint
+	// build is the build of the endpoint that began the stream, or nil before its first event.
+	build atomic.Pointer[string]
 	// sentAt is the time when the last attempt began.
 	sentAt time.Duration
 	// stalled reports whether an attempt was canceled because the endpoint sent nothing within the timeout.
@@ -139,14 +147,14 @@
 	pr := fw.request
 	cf := pr.gate.config
 	if de := fw.next.Swap(nil); de != nil {
-		if !slices.Contains(fw.tried, de.Endpoint.ID) {
+		if !slices.Contains(fw.tried, de.Endpoint.ID) && fw.fits(de.Endpoint) {
 			pr.entry.recordDecision(*de)
 			return *de, nil
 		}
 		cf.Board.Release(*de)
 	}
 	now := pr.now()
-	de := cf.Board.Pick(now, pr.service, cf.Roster.Usable(pr.service.Name), pr.placement(fw.tried))
+	de := fw.pick(fw.tried)
 	pr.entry.recordDecision(de)
 	if de.Endpoint == nil {
 		if de.Withheld > 0 {
@@ -238,6 +246,7 @@
 	at := cf.Board.Begin(pr.now(), pr.service, rq, de)
 	cf.Notifier.NotifyDispatch(de.Endpoint.ID, rq.PrefixID(), de.UncachedTokens)
 	fw.tried = append(fw.tried, de.Endpoint.ID)
+	fw.endpoint = de.Endpoint
 	fw.sentAt = pr.now()
 	if de.PermitFrom != "" {
 		cf.Metrics.Counter("weir_rate_limited_sends_total").Inc()
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -90,6 +90,8 @@
 	Pool *conns.Pool
 	// Quarantine blocks requests that crash endpoints.
 	Quarantine Quarantine
+	// Origins knows which builds of endpoints began streams.
+	Origins Origins
 	// Lender borrows tokens from the other instances.
 	Lender Borrower
 	// Notifier notifies the other instances of dispatched requests.
--- a/internal/gate/response.go
+++ b/internal/gate/response.go
@@ -192,6 +192,7 @@
 		return
 	}
 	pr := fw.request
+	fw.fixBuild()
 	_ = http.NewResponseController(pr.writer).SetWriteDeadline(time.Now().Add(pr.timeLeft() + writeGrace))
 	fw.sendHeader(ex)
 }
--- a/internal/gate/stall.go
+++ b/internal/gate/stall.go
@@ -70,7 +70,7 @@
 func (fw *forwarder) planRetry(tried []string) (place.Decision, bool) {
 	pr := fw.request
 	cf := pr.gate.config
-	de := cf.Board.Pick(pr.now(), pr.service, cf.Roster.Usable(pr.service.Name), pr.placement(tried))
+	de := fw.pick(tried)
 	if de.Endpoint == nil {
 		return de, false
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -54,6 +54,8 @@
 	Domain string `json:"domain"`
 	// IssuesPermits reports whether the instance issues permits for the rate limits of endpoints; older builds do not.
 	IssuesPermits bool `json:"issuesPermits,omitempty"`
+	// HoldsOrigins reports whether the instance holds the origins of streams for others; older builds do not.
+	HoldsOrigins bool `json:"holdsOrigins,omitempty"`
 }
 
 // Config describes this instance.
--- a/internal/mesh/notifier.go
+++ b/internal/mesh/notifier.go
@@ -35,6 +35,16 @@
 	Crash *CrashNotice `cbor:"4,keyasint,omitempty"`
 	// RateLimit is set instead of the other fields if the notice is of a rate limit; builds that do not know it discard the notice.
 	RateLimit *RateLimitNotice `cbor:"5,keyasint,omitempty"`
+	// Origins is set instead of the other fields if the notice is of streams that began; builds that do not know it discard the notice.
+	Origins []OriginNotice `cbor:"6,keyasint,omitempty"`
+}
+
+// OriginNotice tells an instance which build of an endpoint's software began a stream.
+type OriginNotice struct {
+	// Key identifies the stream (see origin.Key).
+	Key uint64 `cbor:"1,keyasint"`
+	// Build identifies the software.
+	Build string `cbor:"2,keyasint"`
 }
 
 // RateLimitNotice is the message by which an instance notifies others of what a response said about the rate limit of an endpoint.
@@ -88,6 +98,20 @@
 	}
 }
 
+// SendTo sends a notice to the named peers before it returns. A notice to an unknown or unreachable peer is lost.
+func (no *Notifier) SendTo(names []string, nt Notice) error {
+	data, err := record.Marshal(nt)
+	if err != nil {
+		return eris.Wrap(err, "encode a notice")
+	}
+	for _, name := range names {
+		if at := no.mesh.noticeAddr(name); at != nil {
+			_, _ = no.socket.WriteTo(data, at)
+		}
+	}
+	return nil
+}
+
 // RunSend sends queued notices until the context ends.
 func (no *Notifier) RunSend(ctx context.Context) error {
 	for {
@@ -150,6 +174,17 @@
 	return list[:count]
 }
 
+// noticeAddr returns the address at which a peer receives notices, or nil.
+func (me *Mesh) noticeAddr(name string) net.Addr {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	pe, ok := me.peers[name]
+	if !ok {
+		return nil
+	}
+	return pe.noticeAddr
+}
+
 // noticeAddrs returns the addresses at which the peers receive notices.
 func (me *Mesh) noticeAddrs() []net.Addr {
 	me.mu.Lock()
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,21 +33,21 @@
 	me.mu.Lock()
 	defer me.mu.Unlock()
 	now := me.config.Clock()
-	best, highest := me.config.Self.Name, issuerWeight(me.config.Self.Name, process)
+	best, highest := me.config.Self.Name, memberWeight(me.config.Self.Name, process)
 	for name, pe := range me.peers {
 		if !pe.member.IssuesPermits || now < pe.backoffUntil {
 			continue
 		}
-		if weight := issuerWeight(name, process); weight > highest || (weight == highest && name < best) {
+		if weight := memberWeight(name, process); weight > highest || (weight == highest && name < best) {
 			best, highest = name, weight
 		}
 	}
 	return best
 }
 
-// issuerWeight returns the weight of an instance in the choice of the issuer for a process.
-func issuerWeight(instance, process string) uint64 {
-	return xxhash.Sum64String(strings.Join([]string{instance, process}, "\x00"))
+// memberWeight returns the weight of an instance in the choice of those in charge of something, by rendezvous hashing.
+func memberWeight(instance, something string) uint64 {
+	return xxhash.Sum64String(instance + "\x00" + something)
 }
 
 // AskPermits sends asks of the named instance to a peer and returns one grant for each. A peer that does not respond goes into backoff.
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -30,6 +30,8 @@
 	Giver Lender
 	// Permits issues permits to the calling peers.
 	Permits PermitIssuer
+	// Origins knows which builds began streams.
+	Origins OriginHolder
 }
 
 type server struct {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -17,6 +19,8 @@
 	// minOutage is the minimum length of an outage of the store, counted from the last successful read. In a shorter one, an endpoint misses
 	// fewer than two heartbeats, and its registration does not expire.
 	minOutage = 2500 * time.Millisecond
+	// maxBuildBytes is the length up to which a version is passed on to other instances as it is.
+	maxBuildBytes = 64
 )
 
 // Endpoint is the registration of one process of an endpoint; it is immutable.
@@ -73,6 +77,19 @@
 // Process returns a name of the process, since a restarted one may keep the ID of the endpoint.
 func (en Endpoint) Process() string { return en.ID + "@" + strconv.FormatInt(en.StartedMillis, 36) }
 
+// Build identifies the software of the endpoint. Streams can go on at another endpoint of the same build. An endpoint that states no version shares
+// its build with no other process.
+func (en Endpoint) Build() string {
+	switch {
+	case en.Version == "":
+		return "process " + en.Process()
+	case len(en.Version) > maxBuildBytes:
+		return "hash " + strconv.FormatUint(xxhash.Sum64String(en.Version), 16)
+	default:
+		return "version " + en.Version
+	}
+}
+
 // Change is a registration, or the end of one, as read from the store.
 type Change struct {
 	// ID is the ID of the endpoint.
@@ -100,12 +117,14 @@
 	lastRead atomic.Int64
 	// services holds the endpoints that accept new requests, by service.
 	services atomic.Pointer[map[string][]*Endpoint]
+	// builds holds what is known of the builds of each service, also of one without endpoints.
+	builds atomic.Pointer[map[string]builds]
 }
 
 // New returns a roster without endpoints.
 func New() *Roster {
 	ro := &Roster{byID: map[string]*Endpoint{}, missing: map[string]bool{}, latest: map[string]version{}}
-	ro.publish()
+	ro.publish(0)
 	return ro
 }
 
@@ -152,7 +171,7 @@
 		delete(ro.byID, id)
 	}
 	clear(ro.missing)
-	ro.publish()
+	ro.publish(now)
 }
 
 // Apply applies changes in the given order, which is the order in the store. It returns those that add, remove or change an endpoint; a mere
@@ -167,7 +186,7 @@
 		}
 	}
 	if len(relevant) > 0 {
-		ro.publish()
+		ro.publish(now)
 	}
 	return relevant
 }
@@ -229,7 +248,7 @@
 }
 
 // publish makes the current endpoints visible to the methods that take no lock.
-func (ro *Roster) publish() {
+func (ro *Roster) publish(now time.Duration) {
 	services := map[string][]*Endpoint{}
 	for _, en := range ro.byID {
 		if !en.Leaving {
@@ -240,6 +259,7 @@
 		slices.SortFunc(list, func(aa, bb *Endpoint) int { return strings.Compare(aa.ID, bb.ID) })
 	}
 	ro.services.Store(&services)
+	ro.publishBuilds(now)
 }
 
 // Contains reports whether the endpoint is registered or missing, also if it is leaving.
