Soak: endpoints of two software versions, replaced and resumed

Five model endpoints of two versions; a second series of changes replaces endpoints by others of either version. Callers resume streams that break off, with the ID of the request that began them. Checked from the endpoints' runs: each one that resumes a stream after an event has the version of the run that sent that event; and, after the faults, that of 24 streams as many go on as the rule asks.

--- a/internal/edge/path_test.go
+++ b/internal/edge/path_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/clementineweir/clementineweir/platform/stand"
 	"github.com/clementineweir/clementineweir/platform/wire"
@@ -168,7 +169,7 @@
 		stand.HeaderTeam: "team-9", stand.HeaderEndpoint: "other", "Connection": "X-Hop", "X-Hop": "1", stand.HeaderRetention: "r",
 	}})
 	want := []stand.Run{{ID: "id", Team: testTeam, Target: "/unsafe/x?q=1", Body: "the body", Version: "v1", Ended: true}}
-	if diff := cmp.Diff(want, fl.runsOf("id")); diff != "" {
+	if diff := cmp.Diff(want, fl.runsOf("id"), cmpopts.IgnoreFields(stand.Run{}, "BeganAt")); diff != "" {
 		tt.Error(diff)
 	}
 }
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -55,10 +55,16 @@
 	binary string
 	store  *stand.Store
 	// proxies are all proxies: those between the instances and the endpoints, and those between the instances and the store.
-	proxies        []*proxy
+	proxies []*proxy
+	// faultProxies are those in which inject injects faults.
+	faultProxies   []*proxy
 	modelEndpoints []*stand.Endpoint
 	plainEndpoints []*stand.Endpoint
-	nodes          []*node
+	// addresses holds the address of each endpoint's proxy.
+	addresses map[*stand.Endpoint]string
+	// replaced is the number of endpoints that were replaced by others.
+	replaced int
+	nodes    []*node
 	// prepaid is the number of tokens that the team has prepaid so far, version the version of the configuration.
 	prepaid int64
 	version int
@@ -67,12 +73,12 @@
 }
 
 func newWorld(tt *testing.T, count int, prepaid int64) *world {
-	wo := &world{tt: tt, binary: filepath.Join(tt.TempDir(), "clementineweir"), store: stand.NewStore(), prepaid: prepaid}
+	wo := &world{tt: tt, binary: filepath.Join(tt.TempDir(), "clementineweir"), store: stand.NewStore(), prepaid: prepaid, addresses: map[*stand.Endpoint]string{}}
 	if out, err := exec.Command("go", "build", "-o", wo.binary, "../../cmd/clementineweir").CombinedOutput(); err != nil {
 		tt.Fatalf("go build of clementineweir failed: %s", out)
 	}
 	storeAddress := wo.serve(wo.store)
-	for ix := range 3 {
+	for ix := range firstModels {
 		wo.modelEndpoints = append(wo.modelEndpoints, wo.endpoint("model", ix, eventsPerStream))
 	}
 	for ix := range 2 {
@@ -82,6 +88,10 @@
 	for ix := range count {
 		wo.addNode(fmt.Sprint("instance-", ix), wo.proxy(storeAddress))
 	}
+	wo.faultProxies = wo.proxies
+	for ix := range moreModels {
+		wo.modelEndpoints = append(wo.modelEndpoints, wo.endpoint("model", firstModels+ix, eventsPerStream))
+	}
 	tt.Cleanup(wo.killAll)
 	return wo
 }
@@ -113,8 +123,9 @@
 // endpoint starts an endpoint behind a proxy and registers it. length is the number of events in its streams; zero means no streams.
 func (wo *world) endpoint(service string, ix, length int) *stand.Endpoint {
 	id := fmt.Sprintf("%s-%d", service, ix)
-	en := stand.NewEndpoint(stand.EndpointConfig{ID: id, Service: service, Domain: "zone-a", Slots: 32, Events: length, Pause: eventInterval, CrashPart: crashPart, RestartTime: crashTime})
-	wo.store.Put(wire.RegistrationTopic, id, en.Registration(wo.proxy(wo.serve(en)), "ready", 1))
+	en := stand.NewEndpoint(stand.EndpointConfig{ID: id, Service: service, Domain: "zone-a", Slots: 32, Events: length, Pause: eventInterval, CrashPart: crashPart, RestartTime: crashTime, Version: versions[ix%len(versions)]})
+	wo.addresses[en] = wo.proxy(wo.serve(en))
+	wo.store.Put(wire.RegistrationTopic, id, en.Registration(wo.addresses[en], "ready", 1))
 	return en
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,6 +36,9 @@
 	// crashPart is the part of prompts that crashes model endpoints. Two of crashEvery requests have it if they are for streams.
 	crashPart  = "dead"
 	crashEvery = 60
+	// firstModels is the number of model endpoints that have faults, and moreModels that of others. Both were chosen so that the seeds of earlier
+	// builds inject the same faults.
+	firstModels, moreModels = 3, 2
 	// crashTime is the time from such a crash until the endpoint accepts requests again.
 	crashTime = 300 * time.Millisecond
 	// callerTimeoutMillis is the timeout that a caller sends with its request.
@@ -77,6 +80,12 @@
 	tokens int64
 	// instance is the name of the instance that got the request.
 	instance string
+	// resumes is the ID of the request that began the stream, if this one resumes it.
+	resumes string
+	// lastEvent is the ID of the last event of the stream that the caller has received.
+	lastEvent int
+	// broken reports whether the response was cut off.
+	broken bool
 	// headAt is the time when the caller received the header of the response, or zero.
 	headAt time.Time
 }
@@ -99,14 +108,16 @@
 		random := rand.New(rand.NewPCG(seed, uint64(worker)))
 		group.Go(func() { wo.loopCaller(ctx, random, &numbers, &jo) })
 	}
+	group.Go(func() { wo.injectChanges(rand.New(rand.NewPCG(seed, 1002))) })
 	wo.inject(rand.New(rand.NewPCG(seed, 1000)))
 	wo.clearFaults()
 	awaitReady(tt, wo)
 	served := len(jo.withStatus(http.StatusOK))
-	time.Sleep(2 * time.Second)
+	wo.checkResumption(rand.New(rand.NewPCG(seed, 1003)), &jo)
 	cancel()
 	group.Wait()
 	wo.check(&jo)
+	wo.checkVersions(&jo)
 	limited.check(tt, &jo)
 	if after := len(jo.withStatus(http.StatusOK)); after == served && wo.tokens(&jo) < wo.prepaid*9/10 {
 		tt.Errorf("no request was served within two seconds after the faults had ended, although prepaid tokens remained")
@@ -132,10 +143,10 @@
 	ends := time.Now().Add(*lengthFlag)
 	var group sync.WaitGroup
 	for time.Now().Before(ends) {
-		no, pr := wo.nodes[random.IntN(len(wo.nodes))], wo.proxies[random.IntN(len(wo.proxies))]
-		en := append(append([]*stand.Endpoint{}, wo.modelEndpoints...), wo.plainEndpoints...)[random.IntN(5)]
+		no, pr := wo.nodes[random.IntN(len(wo.nodes))], wo.faultProxies[random.IntN(len(wo.faultProxies))]
+		en := append(append([]*stand.Endpoint{}, wo.modelEndpoints[:firstModels]...), wo.plainEndpoints...)[random.IntN(5)]
 		span := time.Duration(100+random.IntN(1500)) * time.Millisecond
-		switch random.IntN(10) {
+		switch random.IntN(9) {
 		case 0:
 			wo.restart(no, syscall.SIGKILL)
 		case 1:
@@ -159,15 +170,25 @@
 		case 8:
 			wo.prepaid += int64(random.IntN(maxTopUp))
 			wo.configure()
-		case 9:
-			// The first endpoint keeps its limit during the whole soak (see limitRate).
-			wo.modelEndpoints[1+random.IntN(2)].SetRateLimit(rateLimitTexts[random.IntN(len(rateLimitTexts))])
 		}
 		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
 	}
 	group.Wait()
 }
 
+// injectChanges changes what the model endpoints say of themselves: their rate limits and, by replacing them, their software versions. The first
+// endpoint keeps its limit and its version during the whole soak (see limitRate).
+func (wo *world) injectChanges(random *rand.Rand) {
+	for ends := time.Now().Add(*lengthFlag); time.Now().Before(ends); time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond) {
+		en := wo.modelEndpoints[1+random.IntN(len(wo.modelEndpoints)-1)]
+		if random.IntN(2) == 0 {
+			en.SetRateLimit(rateLimitTexts[random.IntN(len(rateLimitTexts))])
+			continue
+		}
+		wo.replace(en, versions[random.IntN(len(versions))])
+	}
+}
+
 func (wo *world) clearFaults() {
 	wo.store.SetFault(stand.NoFault)
 	for _, pr := range wo.proxies {
@@ -184,16 +205,24 @@
 	}
 }
 
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: 2 * callerTimeoutMillis * time.Millisecond}
+}
+
 // loopCaller sends one request after another to random instances, over keep-alive connections, until the context ends.
 func (wo *world) loopCaller(ctx context.Context, random *rand.Rand, numbers *atomic.Int64, jo *journal) {
-	client := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: 2 * callerTimeoutMillis * time.Millisecond}
+	client := newClient()
 	for ctx.Err() == nil {
 		number := numbers.Add(1)
 		ou := outcome{id: fmt.Sprint("request-", number), number: number, route: []string{"resume", "stream", "safe", "unsafe"}[number%4]}
 		wo.call(client, wo.nodes[random.IntN(len(wo.nodes))], &ou)
-		jo.mu.Lock()
-		jo.list = append(jo.list, ou)
-		jo.mu.Unlock()
+		jo.add(ou)
+		for try := 1; try <= maxResumptions && ou.route == "resume" && ou.broken && ou.lastEvent > 0; try++ {
+			time.Sleep(resumePause)
+			ou = ou.resumption(try)
+			wo.call(client, wo.nodes[random.IntN(len(wo.nodes))], &ou)
+			jo.add(ou)
+		}
 		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
 	}
 }
@@ -220,6 +249,10 @@
 		ca.Parts = []string{"aa", crashPart, fmt.Sprintf("%x", ou.number)}
 	}
 	ca.Set(rq.Header)
+	if ou.resumes != "" {
+		rq.Header.Set(stand.HeaderLastEvent, fmt.Sprint(ou.lastEvent))
+		rq.Header.Set(stand.HeaderResumes, ou.resumes)
+	}
 	ou.instance = no.name
 	rs, err := client.Do(rq)
 	if err != nil {
@@ -229,6 +262,7 @@
 	defer func() { _ = rs.Body.Close() }()
 	data, err := io.ReadAll(rs.Body)
 	ou.status = rs.StatusCode
+	ou.broken = err != nil
 	if rs.StatusCode == http.StatusOK {
 		wo.checkResponse(ou, string(data), err, isStream)
 	}
@@ -239,7 +273,8 @@
 func (wo *world) checkResponse(ou *outcome, got string, err error, isStream bool) {
 	want := stand.ResponseBody(ou.id)
 	if isStream {
-		want = stand.Stream(ou.id, eventsPerStream)
+		want = strings.TrimPrefix(stand.Stream(ou.id, eventsPerStream), stand.Stream(ou.id, ou.lastEvent))
+		ou.lastEvent += strings.Count(got, "\n\n")
 		ou.tokens = promptTokens + int64(strings.Count(got, "\n\n"))*tokensPerEvent
 	}
 	switch {
@@ -293,6 +328,12 @@
 	return sum
 }
 
+func (jo *journal) add(ou outcome) {
+	jo.mu.Lock()
+	defer jo.mu.Unlock()
+	jo.list = append(jo.list, ou)
+}
+
 // withStatus returns the outcomes with the given HTTP status.
 func (jo *journal) withStatus(status int) []outcome {
 	jo.mu.Lock()
