--- a/internal/emul/result.go
+++ b/internal/emul/result.go
@@ -50,10 +50,12 @@
 	RepeatedPrefillTokens int64
 	// Limits says how the rate limits of the runners were kept, if there are any.
 	Limits LimitTally
+	// Resumptions counts the streams that were resumed.
+	Resumptions Resumptions
 }
 
 func (si *simulation) result(policy string) Result {
-	re := Result{Scenario: si.scenario.Name, Policy: policy, All: tallyOf("all", si.requests), Limits: si.limitTally()}
+	re := Result{Scenario: si.scenario.Name, Policy: policy, All: tallyOf("all", si.requests), Limits: si.limitTally(), Resumptions: si.resumptions}
 	for _, cl := range si.scenario.Classes {
 		var list []*callerRequest
 		for _, cr := range si.requests {
--- a/internal/emul/scenario.go
+++ b/internal/emul/scenario.go
@@ -72,6 +72,10 @@
 	HotPrefix HotPrefix
 	// RateLimit is the rate limit that some runners name.
 	RateLimit RateLimit
+	// Versions is the number of software versions, which the runners have in turn; zero means one.
+	Versions int
+	// BreakShare is the share of the streams that break off in their middle and are resumed by their callers.
+	BreakShare float64
 }
 
 // Runners and request classes of the two users' deployments, birligi and virtanen, after their growth. The lengths of shared prefixes are
@@ -119,7 +123,11 @@
 	limited.RateLimit = RateLimit{Runners: 2, PerSecond: 2, From: 3 * time.Second, To: time.Hour}
 	limitedAll := withName(birligi, "limited-all", "every runner takes five requests a second")
 	limitedAll.RateLimit = RateLimit{Runners: limitedAll.Runners, PerSecond: 5, From: 3 * time.Second, To: time.Hour}
-	return append(list, surge, overload, hot, limited, limitedAll)
+	mixed := withName(small, "two-versions", "runners of two versions, one stream in five breaks off and is resumed")
+	mixed.Versions, mixed.BreakShare = 2, 0.2
+	mixedSurge := withName(mixed, "two-versions-surge", "the same with twice the usual for six seconds")
+	mixedSurge.Surges = surge.Surges
+	return append(list, surge, overload, hot, limited, limitedAll, mixed, mixedSurge)
 }
 
 // FindScenario returns the scenario with the given name.
--- a/internal/emul/simulation.go
+++ b/internal/emul/simulation.go
@@ -46,6 +46,7 @@
 	// uniqueParts is the number of unique parts so far: one for each first try or retry of a request.
 	uniqueParts uint64
 	requests    []*callerRequest
+	resumptions Resumptions
 }
 
 // callerRequest is one request of a caller, which is retried once if it is refused.
@@ -89,7 +90,7 @@
 	}
 	prefilledParts := map[uint64]bool{}
 	for ix := range sc.Runners {
-		en := &roster.Endpoint{ID: fmt.Sprint("runner-", ix), Service: "model", Domain: domainName(ix % sc.Domains), Slots: sc.Runner.Slots}
+		en := &roster.Endpoint{ID: fmt.Sprint("runner-", ix), Service: "model", Domain: domainName(ix % sc.Domains), Slots: sc.Runner.Slots, Version: sc.versionOf(ix)}
 		ru := newRunner(sc.Runner, en, si.clock, prefilledParts)
 		si.runners = append(si.runners, ru)
 		si.runnersByID[en.ID], si.runnerIndex[ru] = ru, ix
@@ -158,6 +159,14 @@
 		cr.completed = true
 		att.end(now, true)
 	}
+	if si.breaksOff() {
+		rest := jo.outputTokens / 2
+		jo.outputTokens -= rest
+		jo.onDone = func(now time.Duration) {
+			att.end(now, true)
+			si.clock.at(now+resumeDelay, func() { si.resume(rq, ch.runner, max(1, rest)) })
+		}
+	}
 	ch.runner.accept(jo, ch.source)
 	si.clock.at(now+cl.Timeout, func() {
 		if cr.firstTokenAt == 0 {
--- a/internal/emul/weir.go
+++ b/internal/emul/weir.go
@@ -43,7 +43,12 @@
 }
 
 func (we *weir) pick(instance int, rq place.Request) choice {
-	de := we.balancers[instance].Pick(we.sim.clock.now, we.service, we.endpoints, rq)
+	return we.pickFrom(instance, rq, we.endpoints)
+}
+
+// pickFrom chooses one of the listed endpoints.
+func (we *weir) pickFrom(instance int, rq place.Request, list []*roster.Endpoint) choice {
+	de := we.balancers[instance].Pick(we.sim.clock.now, we.service, list, rq)
 	we.sendAsks(instance)
 	if de.Endpoint == nil {
 		return choice{retryAfter: de.RetryAfter}
