Gate: a stream that its caller resumes must begin after the last event

The check existed for resumptions within one response only. Such a response now fails before anything is relayed and is sent elsewhere if the retry budget allows it. TestResumedStreamBeginsAtTheWrongEvent failed before.

--- a/internal/edge/versions_test.go
+++ b/internal/edge/versions_test.go
@@ -151,3 +151,15 @@
 		tt.Errorf("%d of %d streams were resumed, want nine tenths", resumed, count)
 	}
 }
+
+// TestResumedStreamBeginsAtTheWrongEvent resumes a stream at an endpoint that ignores the last event and sends the stream from its beginning. The caller
+// must not get events that it has.
+func TestResumedStreamBeginsAtTheWrongEvent(tt *testing.T) {
+	fl := newFleet(tt, fleetConfig{instances: 1, prepaid: 50_000_000, versions: []string{"v1"}})
+	fl.setFaults(stand.Unframed)
+	rq := streamRequest("resumed", 1)
+	rq.header = map[string]string{stand.HeaderLastEvent: "2", stand.HeaderResumes: "begun"}
+	if got := fl.send(fl.instances[0], rq); got.Body != "" && got.Status == http.StatusOK {
+		tt.Errorf("the caller got %q, want no event", got.Body)
+	}
+}
--- a/internal/gate/response.go
+++ b/internal/gate/response.go
@@ -105,7 +105,7 @@
 func (fw *forwarder) relayStream(ex *conns.Exchange, de place.Decision, at *place.Attempt, watch *stallWatch) (place.Outcome, error) {
 	pr := fw.request
 	rd := events.NewReader(ex.Response.Body)
-	resumed := fw.headerSent
+	resumed := fw.headerSent || fw.lastEventID > 0
 	// Without a length and chunks, the end of the connection is no proof of the end of the response, so an end before the first event counts
 	// as broken off.
 	received := 0
