Place: a stale withdrawal of a rate limit is not passed on to peers

Found in reading the change: a response without a limit, to a request from before the limit was named, was rightly not believed, but after two seconds without a notice it was announced to the peers, which then dropped the limit until their next response. TestStaleWithdrawalIsNotAnnounced failed before.

--- a/pkg/place/ratelimit.go
+++ b/pkg/place/ratelimit.go
@@ -164,17 +164,17 @@
 func (at *Attempt) RecordRateLimit(now time.Duration, st limit.Statement) RateLimitChange {
 	at.balancer.mu.Lock()
 	defer at.balancer.mu.Unlock()
-	return at.state.believe(now, at.state.rateLimit.WithResponse(now, at.startedAt, st))
+	return at.state.believe(now, st, at.state.rateLimit.WithResponse(now, at.startedAt, st))
 }
 
-// believe sets the belief about the rate limit.
-func (st *state) believe(now time.Duration, be limit.Belief) RateLimitChange {
+// believe sets the belief about the rate limit after a statement, which is passed on only if it is believed.
+func (st *state) believe(now time.Duration, statement limit.Statement, be limit.Belief) RateLimitChange {
 	ch := RateLimitChange{Before: st.rateLimit.Statement, Changed: st.rateLimit.Statement != be.Statement}
 	st.rateLimit = be
 	if ch.Changed {
 		st.permits.ChangeLimit(now, ch.Before, be.Statement)
 	}
-	ch.Notify = ch.Changed || (be.Limited && now-st.rateNoticeAt >= rateNoticeInterval)
+	ch.Notify = statement == be.Statement && (ch.Changed || (be.Limited && now-st.rateNoticeAt >= rateNoticeInterval))
 	if ch.Notify {
 		st.rateNoticeAt = now
 	}
@@ -195,7 +195,7 @@
 		return RateLimitChange{Before: be.Statement, Changed: be.Statement != ba.limits.heard[process].Statement}
 	}
 	st.rateNoticeAt = now
-	return st.believe(now, st.rateLimit.WithNotice(now, statement))
+	return st.believe(now, statement, st.rateLimit.WithNotice(now, statement))
 }
 
 // stateOfProcess returns the state of a process by its name, or nil. The caller holds the lock.
--- a/pkg/place/ratelimit_test.go
+++ b/pkg/place/ratelimit_test.go
@@ -118,3 +118,24 @@
 		tt.Errorf("the new process got no request: %s", de.Reason)
 	}
 }
+
+// TestStaleWithdrawalIsNotAnnounced checks that a response without a limit, to a request from before the limit was named, is neither believed nor passed
+// on to peers.
+func TestStaleWithdrawalIsNotAnnounced(tt *testing.T) {
+	ba, list := NewBalancer(), endpoints(1)
+	begin := func(now time.Duration) *Attempt {
+		rq := longRequest(1, 1)
+		return ba.Begin(now, model, rq, ba.Pick(now, model, list, rq))
+	}
+	early, later := begin(time.Second), begin(2*time.Second)
+	named := limit.Statement{Limited: true, PerSecond: 2}
+	if ch := later.RecordRateLimit(3*time.Second, named); !ch.Changed || !ch.Notify {
+		tt.Errorf("the limit was named: %+v, want a change and a notice", ch)
+	}
+	if ch := early.RecordRateLimit(10*time.Second, limit.Statement{}); ch.Changed || ch.Notify {
+		tt.Errorf("a response to an earlier request has no limit: %+v, want neither a change nor a notice", ch)
+	}
+	if diff := cmp.Diff(map[string]float64{list[0].Process(): 2}, ba.RateLimits()); diff != "" {
+		tt.Errorf("limits (-want +got): %s", diff)
+	}
+}
