--- a/pkg/place/ratelimit.go
+++ b/pkg/place/ratelimit.go
@@ -187,17 +187,25 @@
 	defer ba.mu.Unlock()
 	st := ba.stateOfProcess(process)
 	if st == nil {
-		if len(ba.limits.heard) >= maxHeard {
-			clear(ba.limits.heard)
-		}
-		be := ba.limits.heard[process]
-		ba.limits.heard[process] = be.WithNotice(now, statement)
-		return RateLimitChange{Before: be.Statement, Changed: be.Statement != ba.limits.heard[process].Statement}
+		return ba.limits.hear(now, process, statement)
 	}
 	st.rateNoticeAt = now
 	return st.believe(now, statement, st.rateLimit.WithNotice(now, statement))
 }
 
+// hear records what a peer stated of a process to which this instance has not sent any request.
+func (rl *rateLimits) hear(now time.Duration, process string, statement limit.Statement) RateLimitChange {
+	before := rl.heard[process]
+	after := before.WithNotice(now, statement)
+	switch {
+	case !after.Limited:
+		delete(rl.heard, process)
+	case len(rl.heard) < maxHeard:
+		rl.heard[process] = after
+	}
+	return RateLimitChange{Before: before.Statement, Changed: before.Statement != after.Statement}
+}
+
 // stateOfProcess returns the state of a process by its name, or nil. The caller holds the lock.
 func (ba *Balancer) stateOfProcess(process string) *state {
 	st, ok := ba.states[process[:max(0, strings.LastIndexByte(process, '@'))]]
