Edge tests: addresses below the ephemeral range, one per process

Traced with the instance's error printed, six processes side by side: 'bind: address already in use' in 2 of 18 runs.

--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -117,12 +116,11 @@
 
 // freeAddress returns a loopback address with an unused port.
 func (fl *fleet) freeAddress() string {
-	li, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := stand.FreeAddress()
 	if err != nil {
 		fl.tt.Fatal(err)
 	}
-	defer func() { _ = li.Close() }()
-	return li.Addr().String()
+	return address
 }
 
 func (fl *fleet) start(name string) *instance {
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -68,8 +68,6 @@
 	// prepaid is the number of tokens that the team has prepaid so far, version the version of the configuration.
 	prepaid int64
 	version int
-	// port is the last port that was assigned to an instance.
-	port int
 }
 
 func newWorld(tt *testing.T, count int, prepaid int64) *world {
@@ -100,7 +98,7 @@
 func (wo *world) serve(handler http.Handler) string {
 	se := httptest.NewUnstartedServer(handler)
 	_ = se.Listener.Close()
-	li, err := net.Listen("tcp", loopback()+":0")
+	li, err := net.Listen("tcp", stand.Loopback()+":0")
 	if err != nil {
 		wo.tt.Fatal(err)
 	}
@@ -145,30 +143,14 @@
 	wo.store.Put(wire.OperatorTopic, wire.ConfigurationKey, data)
 }
 
-// loopback returns the loopback address of this process. Soaks that run beside each other have different ones: on a shared address an instance
-// could take the port of another soak's instance while that restarts, and serve its callers.
-func loopback() string {
-	const octet = 250
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid/octet/octet%octet, 1+pid/octet%octet, 1+pid%octet)
-}
-
-// freeAddress returns an address with a free port below the ephemeral range. With a port of that range, the kernel could assign the port to
-// an outgoing connection while the instance restarts; the instance then failed with "bind: address already in use" (seeds 205, 221 and 248
-// with 7 instances).
+// freeAddress returns an address with a free port. With a port of the ephemeral range, the kernel could assign the port to an outgoing connection
+// while the instance restarts; the instance then failed with "bind: address already in use" (seeds 205, 221 and 248 with 7 instances).
 func (wo *world) freeAddress() string {
-	const firstPort, lastPort = 15_000, 30_000
-	for wo.port = max(wo.port, firstPort) + 1; wo.port < lastPort; wo.port++ {
-		address := fmt.Sprintf("%s:%d", loopback(), wo.port)
-		li, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = li.Close()
-		return address
+	address, err := stand.FreeAddress()
+	if err != nil {
+		wo.tt.Fatal(err)
 	}
-	wo.tt.Fatal("no port below 30000 is free")
-	return ""
+	return address
 }
 
 // addNode writes the settings of a new instance and starts it.
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/clementineweir/clementineweir/platform/stand"
 )
 
 // mode selects what a proxy does with the data on its connections.
@@ -31,7 +33,7 @@
 }
 
 func newProxy(target string) (*proxy, error) {
-	li, err := net.Listen("tcp", loopback()+":0")
+	li, err := net.Listen("tcp", stand.Loopback()+":0")
 	if err != nil {
 		return nil, err
 	}
