--- a/internal/edge/permits.go
+++ b/internal/edge/permits.go
@@ -175,7 +175,7 @@
 		"span", (now - last.at).Seconds(), "instancesWaiting", waiting)
 }
 
-// prune forgets the log state of processes whose endpoints are unknown.
+// prune forgets the log state of processes for which nobody has asked for a while.
 func (ps *permits) prune(now time.Duration) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
