--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -52,6 +52,7 @@
 }{
 	{5, "the proxy turned the reset of an endpoint into a regular end, so that an unframed response looked complete"},
 	{8, "an unframed response without a body was taken as complete"},
+	{411, "instances that had just started did not know the rate limits of endpoints"},
 	{600, "a stream that its caller resumed began at its first event again, and was relayed"},
 	{33, "the resumption of a broken stream ended before its first event and was taken as complete"},
 }
