ORDER: versions of streams outlive the instances

After a kill of all instances, or at an instance that had not run for a while, streams that callers took up again went on at another software version or were all refused. Cause: what began a stream was known by the memory of instances alone, and otherwise concluded from the present registrations.

The builds that may have begun streams are now a row of the store, which is read again for each resumption; while there are several, origins are appended to a log in the store.

--- a/internal/cmds/edge.go
+++ b/internal/cmds/edge.go
@@ -21,6 +21,8 @@
 const (
 	// grantTopic is the topic of the platform's store that holds the grants of the instances.
 	grantTopic = "keyed.weir"
+	// originTopic is the topic of the platform's store that holds the origins of streams.
+	originTopic = "weir-origins"
 	// memoryPercent is the Go memory limit in percent of the allowed memory. Near the limit, garbage is collected more often.
 	memoryPercent = 60
 	megabyte      = 1 << 20
@@ -72,7 +74,7 @@
 		Settings: se,
 		Platform: edge.Platform{
 			Topic: cl.Topic, Configuration: wire.OperatorTopic, ConfigurationKey: wire.ConfigurationKey,
-			Endpoints: wire.RegistrationTopic, Grants: grantTopic,
+			Endpoints: wire.RegistrationTopic, Grants: grantTopic, Log: cl.Log, Origins: originTopic,
 			Protocol: wire.Protocol{}, DecodePlan: wire.DecodePlan, DecodeEndpoint: wire.DecodeEndpoint,
 		},
 		Clock:  func() time.Duration { return time.Since(started) + 1 },
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -29,6 +29,9 @@
 // minNoticeTokens is the minimum number of uncached prompt tokens for which peers are notified. An endpoint prefills them in some 25 ms.
 const minNoticeTokens = 1500
 
+// maxLearnTime is the time after the start from which an instance is ready although streams may begin nowhere.
+const maxLearnTime = 3 * time.Second
+
 // shardName returns the name by which peers call one partition of a topic.
 func shardName(topic string, part int) string { return fmt.Sprintf("%s/%d", topic, part) }
 
@@ -42,8 +45,12 @@
 	ConfigurationKey string
 	// Endpoints is the name of the topic that holds the registrations of endpoints, with the endpoint's ID as the key.
 	Endpoints string
-	// Grants is the name of the topic that the instances share: grant rows, announcements and crashes.
+	// Grants is the name of the topic that the instances share: grant rows, announcements, crashes and the builds of services.
 	Grants string
+	// Log returns one partition of a topic without keys in the store.
+	Log func(name string, part int) keyed.Log
+	// Origins is the name of the topic without keys to which the instances write the origins of streams.
+	Origins string
 	// Protocol decodes and encodes the headers of callers and endpoints.
 	Protocol gate.Protocol
 	// DecodePlan decodes a configuration and returns the names of the routes that had to be left out as unusable.
@@ -104,7 +111,7 @@
 	now := cf.Clock()
 	incarnation := cf.Stamp().Wall.UnixNano()
 	ed := &Edge{
-		config: cf, roster: roster.New(cf.Settings.FirstStart), balancer: place.NewBalancer(), metrics: gate.NewMetrics(),
+		config: cf, roster: roster.New(), balancer: place.NewBalancer(), metrics: gate.NewMetrics(),
 		quotas:      quota.NewSet(grantShards, quota.Config{Instance: cf.Settings.Name, Incarnation: incarnation, FirstStart: cf.Settings.FirstStart}, now, cf.Stamp),
 		retryBudget: retry.New(retryConfig(cf.Settings), now),
 	}
@@ -225,7 +232,7 @@
 
 // Ready reports whether the platform should send callers here; an instance stays ready while the store is unreachable.
 func (ed *Edge) Ready() bool {
-	return !ed.Draining() && ed.Plan() != nil && ed.endpointWatcher.loaded.Load()
+	return !ed.Draining() && ed.Plan() != nil && ed.endpointWatcher.loaded.Load() && (ed.origins.builds.ready() || ed.config.Clock() >= maxLearnTime)
 }
 
 // Run serves callers until the context ends, and then drains.
@@ -243,7 +250,7 @@
 	var group run.Group
 	loops := []func(context.Context) error{
 		ed.configWatcher.run, ed.endpointWatcher.run, ed.servers.run, ed.servers.runReadiness, ed.servers.runPeers, ed.runSweep, ed.runReload,
-		ed.notifier.RunSend, ed.notifier.RunReceive, ed.permits.run, ed.paths.run,
+		ed.notifier.RunSend, ed.notifier.RunReceive, ed.permits.run, ed.paths.run, ed.origins.log.run,
 	}
 	for _, gs := range ed.grantSyncs {
 		loops = append(loops, gs.run)
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -150,7 +150,7 @@
 		Settings: se,
 		Platform: edge.Platform{
 			Topic: cl.Topic, Configuration: wire.OperatorTopic,
-			ConfigurationKey: wire.ConfigurationKey, Endpoints: wire.RegistrationTopic, Grants: "keyed.weir",
+			ConfigurationKey: wire.ConfigurationKey, Endpoints: wire.RegistrationTopic, Grants: "keyed.weir", Log: cl.Log, Origins: "weir-origins",
 			Protocol: wire.Protocol{}, DecodePlan: wire.DecodePlan, DecodeEndpoint: wire.DecodeEndpoint,
 		},
 		Clock:  func() time.Duration { return time.Since(begun) + 1 },
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -39,8 +39,10 @@
 	partition int
 	view      *keyed.View
 	outages   outageLog
-	// readAt is the time of the last read of the other instances' rows.
-	readAt time.Duration
+	// readAt is the start of the last successful read, and era the number of the era of the store in which it was.
+	readAt atomic.Int64
+	era    atomic.Int64
+	reads  *readSync
 	// loaded is set after the first successful read of the partition.
 	loaded atomic.Bool
 	// announced is set by the first step that succeeds. In the first partition, it appends this instance's announcement or withdrawal.
@@ -51,7 +53,8 @@
 
 func newGrantSync(ed *Edge, sh *quota.Shard, partition int) *grantSync {
 	name := shardName(ed.config.Platform.Grants, partition)
-	gs := &grantSync{edge: ed, quota: sh, partition: partition, outages: outageLog{name: name, logger: ed.config.Logger}}
+	gs := &grantSync{edge: ed, quota: sh, partition: partition, outages: outageLog{name: name, logger: ed.config.Logger}, reads: newReadSync()}
+	gs.era.Store(keyed.Era(0).Number())
 	gs.view = keyed.NewView(ed.topics[name], gs)
 	return gs
 }
@@ -59,6 +62,9 @@
 func (gs *grantSync) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		delay := gs.step(ctx)
+		if gs.partition == 0 && !gs.edge.origins.builds.ready() {
+			delay = min(delay, 2*minGrantPause)
+		}
 		gs.edge.transfers.returnSurplus(ctx, gs.quota)
 		size := gs.edge.fleetSize(gs.edge.config.Clock())
 		gs.edge.retryBudget.SetInstances(size)
@@ -80,6 +86,7 @@
 	case <-ctx.Done():
 	case <-ti.C:
 	case <-gs.quota.Urgent():
+	case <-gs.reads.wake:
 	}
 }
 
@@ -108,6 +115,7 @@
 	if gs.partition == 0 {
 		crashes = gs.edge.quarantine.takeUnsent()
 		list = append(list, crashes...)
+		list = append(list, gs.edge.origins.builds.records(cf.Clock())...)
 	}
 	if len(list) == 0 {
 		gs.recordAnnouncement()
@@ -139,13 +147,18 @@
 
 // read reads the rows of other instances.
 func (gs *grantSync) read(ctx context.Context) error {
+	started := gs.edge.config.Clock()
+	gs.reads.begin()
 	err := gs.view.Poll(ctx, 0)
 	now := gs.edge.config.Clock()
 	if err != nil {
+		gs.reads.end(false)
 		gs.outages.recordFailure(now, err)
 		return err
 	}
-	gs.readAt = now
+	gs.readAt.Store(int64(started))
+	gs.era.Store(gs.view.Era().Number())
+	gs.reads.end(true)
 	gs.loaded.Store(true)
 	gs.outages.recordSuccess(now)
 	gs.edge.recordEra(&gs.outages, gs.view)
@@ -154,9 +167,21 @@
 
 // idle reports whether there is nothing to read or to append now.
 func (gs *grantSync) idle(now time.Duration) bool {
-	return gs.view.Loaded() && now-gs.readAt < gs.idleInterval() && !gs.eraOutdated() && !gs.quota.Due(now) && !gs.announcementDue(now)
+	return gs.view.Loaded() && now-gs.lastRead() < gs.idleInterval() && !gs.readWanted() && !gs.eraOutdated() && !gs.quota.Due(now) &&
+		!gs.announcementDue(now) && (gs.partition != 0 || !gs.edge.origins.builds.due(now))
 }
 
+// readWanted reports whether something waits for a new read: the resumption of a stream or, in the first partition, the first rows of builds.
+func (gs *grantSync) readWanted() bool {
+	return gs.reads.isWanted() || (gs.partition == 0 && !gs.edge.origins.builds.ready())
+}
+
+// lastRead returns the start of the last successful read.
+func (gs *grantSync) lastRead() time.Duration { return time.Duration(gs.readAt.Load()) }
+
+// awaitRead waits for a read that begins after the call and reports whether it succeeded.
+func (gs *grantSync) awaitRead(ctx context.Context) bool { return gs.reads.await(ctx) }
+
 // eraOutdated reports whether another topic was read in another era of the store than this one.
 func (gs *grantSync) eraOutdated() bool { return gs.view.Era().Number() != gs.edge.storeEra.Load() }
 
@@ -218,6 +243,8 @@
 	if gs.partition != 0 {
 		return
 	}
+	gs.edge.origins.builds.table.Reset(gs.edge.config.Clock(), sn)
+	gs.edge.origins.shareMixed()
 	if sn.Restored {
 		// The store may have lost the announcement of this instance.
 		gs.announced = false
@@ -239,6 +266,8 @@
 	gs.edge.mesh.ApplyAnnouncements(list)
 	gs.setMembers()
 	gs.edge.quarantine.applyRecords(list)
+	gs.edge.origins.builds.table.Apply(gs.edge.config.Clock(), list)
+	gs.edge.origins.shareMixed()
 }
 
 // setMembers passes the names of all instances on.
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/clementineweir/clementineweir/internal/gate"
 	"github.com/clementineweir/clementineweir/internal/mesh"
@@ -12,23 +13,32 @@
 const (
 	// maxOriginsPerNotice bounds the origins in one datagram.
 	maxOriginsPerNotice = 16
-	// maxAsked bounds the peers that are asked for an origin that its holders do not know.
+	// maxAsked bounds the peers that are asked for an origin that neither its holders nor the log know.
 	maxAsked = 8
+	// maxFindTime bounds the time in which the origin of a stream is looked for.
+	maxFindTime = time.Second
 )
 
-// origins shares with the other instances which builds began streams. An origin is held by the instance that began the stream and, unless
-// the service has a sole build, by two others.
+// origins knows which builds began streams. While a service has a sole build, its row in the table of builds says so, and the origin of a stream is kept by
+// the instance that began it alone. Otherwise, two other instances hold the origin as well, and it is written to the log of origins in the store.
 type origins struct {
-	edge *Edge
-	mu   sync.Mutex
-	book *origin.Book
+	edge   *Edge
+	builds *builds
+	log    *originLog
+	mu     sync.Mutex
+	book   *origin.Book
 }
 
-func newOrigins(ed *Edge) *origins { return &origins{edge: ed, book: origin.NewBook()} }
+func newOrigins(ed *Edge) *origins {
+	ors := &origins{edge: ed, book: origin.NewBook()}
+	ors.builds = newBuilds(ed)
+	ors.log = newOriginLog(ed, ors.learn)
+	return ors
+}
 
-// Record records the build that begins a stream, and sends it to the holders before it returns unless the service has a sole build.
+// Record records the build that begins a stream. Unless the service has a sole build, it sends the origin to the holders before it returns.
 func (ors *origins) Record(service string, og origin.Origin) {
-	_, sole := ors.SoleBuild(service)
+	sole := ors.builds.presumedSole(service)
 	ors.mu.Lock()
 	ors.book.RecordOwn(ors.edge.config.Clock(), service, og, !sole)
 	ors.mu.Unlock()
@@ -42,8 +52,7 @@
 	mixed := map[string]bool{}
 	ors.share(func(service string) bool {
 		if _, known := mixed[service]; !known {
-			_, sole := ors.SoleBuild(service)
-			mixed[service] = !sole
+			mixed[service] = !ors.builds.presumedSole(service)
 		}
 		return mixed[service]
 	})
@@ -62,8 +71,9 @@
 	}
 }
 
-// send sends origins to their holders.
+// send sends origins to their holders and to the log.
 func (ors *origins) send(list []origin.Origin) {
+	ors.log.add(list)
 	notices := map[string][]mesh.OriginNotice{}
 	for _, og := range list {
 		holders, _ := ors.edge.mesh.Holders(og.Key)
@@ -85,13 +95,22 @@
 	ors.edge.metrics.Counter("weir_stream_origins_shared_total").Add(len(list))
 }
 
-// applyNotice records the origins of streams that other instances began.
-func (ors *origins) applyNotice(list []mesh.OriginNotice) {
+// learn records the origins of streams that other instances began.
+func (ors *origins) learn(list []origin.Origin) {
 	ors.mu.Lock()
 	defer ors.mu.Unlock()
+	for _, og := range list {
+		ors.book.Record(ors.edge.config.Clock(), og)
+	}
+}
+
+// applyNotice records the origins in a notice of a peer.
+func (ors *origins) applyNotice(list []mesh.OriginNotice) {
+	learned := make([]origin.Origin, 0, len(list))
 	for _, nt := range list {
-		ors.book.Record(ors.edge.config.Clock(), origin.Origin{Key: origin.Key(nt.Key), Build: nt.Build})
+		learned = append(learned, origin.Origin{Key: origin.Key(nt.Key), Build: nt.Build})
 	}
+	ors.learn(learned)
 }
 
 // Held returns the build that began a stream, and false if it is not known here.
@@ -101,21 +120,30 @@
 	return ors.book.Find(key)
 }
 
-// Find returns the build that began a stream and where it is known from. It asks the holders, and then other peers.
-func (ors *origins) Find(ctx context.Context, key origin.Key) (build, source string) {
-	if build, ok := ors.Held(key); ok {
-		return build, ors.edge.config.Settings.Name
+// Find returns the build that began a stream and where it is known from, or empty strings.
+func (ors *origins) Find(ctx context.Context, service string, key origin.Key) (build, source string) {
+	ctx, cancel := context.WithTimeout(ctx, maxFindTime)
+	defer cancel()
+	if key != 0 {
+		if build, ok := ors.Held(key); ok {
+			return build, ors.edge.config.Settings.Name
+		}
+	}
+	if build, ok := ors.builds.sole(ctx, service); ok {
+		return build, "builds"
+	}
+	if key == 0 {
+		return "", ""
 	}
 	holders, others := ors.edge.mesh.Holders(key)
-	for _, names := range [][]string{holders, others[:min(len(others), maxAsked)]} {
-		if build, source := ors.ask(ctx, names, key); build != "" {
-			ors.mu.Lock()
-			ors.book.Record(ors.edge.config.Clock(), origin.Origin{Key: key, Build: build})
-			ors.mu.Unlock()
-			return build, source
-		}
+	if build, source := ors.ask(ctx, holders, key); build != "" {
+		return build, source
 	}
-	return "", ""
+	ors.log.refresh(ctx)
+	if build, ok := ors.Held(key); ok {
+		return build, "log"
+	}
+	return ors.ask(ctx, others[:min(len(others), maxAsked)], key)
 }
 
 // originAnswer is the answer of a peer that was asked for an origin.
@@ -124,7 +152,7 @@
 	name  string
 }
 
-// ask asks the named peers at the same time and returns the first build that one of them knows, and the peer's name.
+// ask asks the named peers at the same time, records the first build that one of them knows, and returns it with the peer's name.
 func (ors *origins) ask(ctx context.Context, names []string, key origin.Key) (build, source string) {
 	actx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -139,6 +167,7 @@
 	}
 	for range asked {
 		if an := <-answers; an.build != "" {
+			ors.learn([]origin.Origin{{Key: key, Build: an.build}})
 			return an.build, an.name
 		}
 	}
@@ -154,11 +183,6 @@
 	answers <- originAnswer{build: build, name: name}
 }
 
-// SoleBuild returns the build of all endpoints of the service if there was no other one within the lifetime of a stream.
-func (ors *origins) SoleBuild(service string) (string, bool) {
-	return ors.edge.roster.SoleBuild(service, ors.edge.config.Clock(), ors.edge.config.Stamp().Wall, origin.Lifetime)
-}
-
 var (
 	_ gate.Origins      = (*origins)(nil)
 	_ mesh.OriginHolder = (*origins)(nil)
--- a/internal/edge/size_test.go
+++ b/internal/edge/size_test.go
@@ -30,7 +30,7 @@
 		tt.Run(tc.name, func(tt *testing.T) {
 			ed := New(Config{
 				Settings: config.Edge{Name: "self", PeerAddress: "127.0.0.1:1"},
-				Platform: Platform{Topic: func(string, int) keyed.Topic { return nil }},
+				Platform: Platform{Topic: func(string, int) keyed.Topic { return nil }, Log: func(string, int) keyed.Log { return nil }},
 				Clock:    func() time.Duration { return time.Second }, Stamp: func() quota.Stamp { return quota.Stamp{} },
 				Logger: logr.Discard(), Dropped: func() int64 { return 0 },
 			})
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -100,6 +100,8 @@
 	Quarantine Quarantine
 	// Origins knows which builds of endpoints began streams.
 	Origins Origins
+	// Builds tells at which endpoints streams may begin.
+	Builds Builds
 	// Lender borrows tokens from the other instances.
 	Lender Borrower
 	// Notifier notifies the other instances of dispatched requests.
--- a/internal/gate/origin.go
+++ b/internal/gate/origin.go
@@ -18,10 +18,15 @@
 type Origins interface {
 	// Record records the build that begins a stream of the service. It is called before the first event is relayed.
 	Record(service string, og origin.Origin)
-	// Find returns the build that began a stream and the instance that knew it, or empty strings.
-	Find(ctx context.Context, key origin.Key) (build, source string)
-	// SoleBuild returns the only build that began streams of the service which may still be resumed, and false if there may be several.
-	SoleBuild(service string) (string, bool)
+	// Find returns the build that began a stream of the service and what it is known from, or empty strings. The key is zero if the caller does not name
+	// the stream.
+	Find(ctx context.Context, service string, key origin.Key) (build, source string)
+}
+
+// Builds tells at which builds of endpoints streams may begin.
+type Builds interface {
+	// Usable returns those endpoints of the service's list at which streams may begin that can be resumed.
+	Usable(service string, list []*roster.Endpoint) []*roster.Endpoint
 }
 
 // findBuild sets the build of the stream that the caller resumes. What two builds send does not fit together, so the request is refused if the build is
@@ -31,12 +36,11 @@
 	if !pr.route.Stream || pr.info.LastEvent <= 0 {
 		return nil
 	}
-	build, source := "", "registrations"
-	if sole, ok := pr.gate.config.Origins.SoleBuild(pr.service.Name); ok {
-		build = sole
-	} else if pr.info.Resumes != "" {
-		build, source = pr.gate.config.Origins.Find(fw.ctx, origin.KeyOf(pr.team, pr.info.Resumes))
+	key := origin.Key(0)
+	if pr.info.Resumes != "" {
+		key = origin.KeyOf(pr.team, pr.info.Resumes)
 	}
+	build, source := pr.gate.config.Origins.Find(fw.ctx, pr.service.Name, key)
 	if build == "" {
 		pr.gate.config.Metrics.Counter("weir_stream_origins_unknown_total").Inc()
 		return fault.New(fault.Overloaded, fault.NotRun, "the software version that began the stream is not known").WithRetryAfter(otherBuildRetryAfter)
@@ -65,14 +69,21 @@
 	cf := pr.gate.config
 	list := cf.Roster.Usable(pr.service.Name)
 	build := fw.build.Load()
-	if build != nil {
+	registered := len(list)
+	switch {
+	case build != nil:
 		list = roster.OfBuild(list, *build)
+	case pr.route.Stream && pr.route.RetrySafety == plan.Resumable:
+		list = cf.Builds.Usable(pr.service.Name, list)
 	}
 	rq := pr.placement(tried)
 	rq.Resumed = build != nil
 	de := cf.Board.Pick(pr.now(), pr.service, list, rq)
-	if build != nil && len(list) == 0 {
+	switch {
+	case build != nil && len(list) == 0:
 		de.Reason, de.RetryAfter = "no endpoint has the software version that began the stream", otherBuildRetryAfter
+	case len(list) == 0 && registered > 0:
+		de.Reason, de.RetryAfter = "streams may not begin yet at the software versions that are registered", otherBuildRetryAfter
 	}
 	return de
 }
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -39,6 +39,8 @@
 	callerAddress string
 	// readyAddress is the address of the instance's readiness check.
 	readyAddress string
+	// storeProxy is the proxy between the node and the store.
+	storeProxy *proxy
 	// links are the node's own links to the endpoints, by the address at which an endpoint is registered.
 	linksMu sync.Mutex
 	links   map[string]*stand.Link
@@ -212,6 +214,7 @@
 		wo.link(no, address)
 	}
 	storeAddress := wo.proxy(wo.serve(wo.store.Translated(no.translate)))
+	no.storeProxy = wo.proxies[len(wo.proxies)-1]
 	text := fmt.Sprintf("[instance]\nname = %s\ndomain = zone-a\ncallerAddress = %s\nreadyAddress = %s\npeerAddress = %s\ngrace = 3s\n"+
 		"[store]\naddress = %s\n", name, no.callerAddress, no.readyAddress, wo.freeAddress(), storeAddress)
 	if err := os.WriteFile(no.settingsPath, []byte(text), 0o600); err != nil {
--- a/pkg/keyed/topic.go
+++ b/pkg/keyed/topic.go
@@ -79,3 +79,11 @@
 	// Append appends all records if the topic ends at the offset expectedEnd, otherwise none. It returns the new end.
 	Append(ctx context.Context, expectedEnd int64, list []Record) (End, error)
 }
+
+// Log is one partition of a topic whose records have no keys. The store drops them after a time.
+type Log interface {
+	// Append appends a record after all others. After an error it is unknown whether it was appended.
+	Append(ctx context.Context, data []byte) error
+	// Read returns the records that are retained from the given offset on, and the offset at which to continue. It does not wait for records.
+	Read(ctx context.Context, from int64) (list [][]byte, next int64, err error)
+}
--- a/pkg/roster/builds.go
+++ b/pkg/roster/builds.go
@@ -1,73 +1,52 @@
 package roster
 
-import "time"
+import "slices"
 
-// builds is what is known of the builds of the endpoints of one service. The endpoints that are leaving or missing count, too, since streams that
-// they began may be resumed.
-type builds struct {
-	// sole is the build of all endpoints, or empty if there are several. Without endpoints it is that of the last ones.
-	sole string
-	// since is the time of the last change of sole.
-	since time.Duration
-	// first is true until sole changes, so that this instance has seen no other build.
-	first bool
-	// newest is the latest start of an endpoint, in Unix milliseconds.
-	newest int64
+// Builds lists the builds of the endpoints of one service.
+type Builds struct {
+	// Registered are the builds of all endpoints in ascending order, also of those that are leaving or missing, since streams that they began may be
+	// resumed.
+	Registered []string
+	// Usable are the builds of the endpoints that accept new requests, in ascending order.
+	Usable []string
 }
 
+// Builds returns the builds of the endpoints of each service that has any. The map must not be changed.
+func (ro *Roster) Builds() map[string]Builds { return *ro.builds.Load() }
+
 // publishBuilds updates the builds of all services. The caller holds the lock.
-func (ro *Roster) publishBuilds(now time.Duration) {
-	old := map[string]builds{}
-	if list := ro.builds.Load(); list != nil {
-		old = *list
-	}
-	next := map[string]builds{}
+func (ro *Roster) publishBuilds() {
+	next := map[string]Builds{}
 	for _, en := range ro.byID {
-		bu, ok := next[en.Service]
-		if !ok {
-			bu.sole = en.Build()
-		}
-		if bu.sole != en.Build() {
-			bu.sole = ""
+		bu, build := next[en.Service], en.Build()
+		bu.Registered = insert(bu.Registered, build)
+		if !en.Leaving {
+			bu.Usable = insert(bu.Usable, build)
 		}
-		bu.newest = max(bu.newest, en.StartedMillis)
 		next[en.Service] = bu
 	}
-	for service, bu := range next {
-		before, known := old[service]
-		bu.since, bu.first = now, !known
-		if known && before.sole == bu.sole {
-			bu.since, bu.first = before.since, before.first
-		}
-		next[service] = bu
-	}
-	for service, bu := range old {
-		if _, ok := next[service]; !ok {
-			next[service] = bu
-		}
-	}
 	ro.builds.Store(&next)
 }
 
-// SoleBuild returns the build of all endpoints that the service had for at least the given time, and false if there may have been several.
-//
-// An instance that has not followed the registrations for so long goes by the starts of the endpoints: a service whose endpoints all started before
-// has had no release since. It does so only after recoveryGrace, since a store that has just come back may have lost registrations, unless the fleet starts
-// for the first time. wall is the wall-clock time.
-func (ro *Roster) SoleBuild(service string, now time.Duration, wall time.Time, span time.Duration) (string, bool) {
-	bu, ok := (*ro.builds.Load())[service]
-	if !ok || bu.sole == "" {
-		return "", false
+// insert adds a name to a sorted list unless the list contains it.
+func insert(list []string, name string) []string {
+	ix, found := slices.BinarySearch(list, name)
+	if found {
+		return list
 	}
-	oldEnough := (ro.firstStart || now-bu.since >= recoveryGrace) && wall.Sub(time.UnixMilli(bu.newest)) >= span
-	return bu.sole, now-bu.since >= span || bu.first && oldEnough
+	return slices.Insert(list, ix, name)
 }
 
 // OfBuild returns those endpoints of the list that have the build.
 func OfBuild(list []*Endpoint, build string) []*Endpoint {
+	return OfBuilds(list, []string{build})
+}
+
+// OfBuilds returns those endpoints of the list that have one of the builds.
+func OfBuilds(list []*Endpoint, builds []string) []*Endpoint {
 	out := make([]*Endpoint, 0, len(list))
 	for _, en := range list {
-		if en.Build() == build {
+		if slices.Contains(builds, en.Build()) {
 			out = append(out, en)
 		}
 	}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -118,16 +118,14 @@
 	lastRead atomic.Int64
 	// services holds the endpoints that accept new requests, by service.
 	services atomic.Pointer[map[string][]*Endpoint]
-	// builds holds what is known of the builds of each service, also of one without endpoints.
-	builds atomic.Pointer[map[string]builds]
-	// firstStart reports whether the fleet starts for the first time, so that the store has lost no registrations.
-	firstStart bool
+	// builds holds the builds of the endpoints of each service.
+	builds atomic.Pointer[map[string]Builds]
 }
 
-// New returns a roster without endpoints. The parameter firstStart says whether the whole fleet starts for the first time.
-func New(firstStart bool) *Roster {
-	ro := &Roster{firstStart: firstStart, byID: map[string]*Endpoint{}, missing: map[string]bool{}, latest: map[string]version{}}
-	ro.publish(0)
+// New returns a roster without endpoints.
+func New() *Roster {
+	ro := &Roster{byID: map[string]*Endpoint{}, missing: map[string]bool{}, latest: map[string]version{}}
+	ro.publish()
 	return ro
 }
 
@@ -191,7 +189,7 @@
 		delete(ro.byID, id)
 	}
 	clear(ro.missing)
-	ro.publish(now)
+	ro.publish()
 }
 
 // StoreRestored is called when the store has come back from an older copy, before its content is passed to Replace. Endpoints that registered since
@@ -214,7 +212,7 @@
 		}
 	}
 	if len(relevant) > 0 {
-		ro.publish(now)
+		ro.publish()
 	}
 	return relevant
 }
@@ -276,7 +274,7 @@
 }
 
 // publish makes the current endpoints visible to the methods that take no lock.
-func (ro *Roster) publish(now time.Duration) {
+func (ro *Roster) publish() {
 	services := map[string][]*Endpoint{}
 	for _, en := range ro.byID {
 		if !en.Leaving {
@@ -287,7 +285,7 @@
 		slices.SortFunc(list, func(aa, bb *Endpoint) int { return strings.Compare(aa.ID, bb.ID) })
 	}
 	ro.services.Store(&services)
-	ro.publishBuilds(now)
+	ro.publishBuilds()
 }
 
 // Contains reports whether the endpoint is registered or missing, also if it is leaving.
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -89,7 +89,7 @@
 	}
 	for _, tc := range cases {
 		tt.Run(tc.name, func(tt *testing.T) {
-			ro := New(false)
+			ro := New()
 			for _, st := range tc.steps {
 				switch {
 				case st.readFailed:
