DRAIN, BUDGET: what endpoints say of leaving and of refusing binds at once

Requests reached endpoints that had said in all their answers that they leave, and those that had refused with 503 and a Retry-After delay. Cause: both headers were read nowhere. Class: a word of an endpoint that is lost at the boundary, as with limits, versions and brittleness.

A process that has said that it leaves is out of the roster until it has another start, at this instance at once and at its peers by a notice. A refusal with a delay keeps this instance from the endpoint until its end, plus up to a second at random, so that a fleet does not return at once; if all want nothing, callers are refused at once with the time that is left. Dates are ignored (clocks differ), of several values the greatest counts, an hour is the most.

TestLeavingEndpointGetsRequests before: 417 and 422 requests within two seconds, now none. TestRefusingEndpointsGetRequests before: 934 to 938 requests at each of three endpoints, now at most two an instance. TestLeavingHoldsUntilRestart failed before.

--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -64,7 +64,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, sweepInterval)
 		ed.pool.Sweep()
-		ed.balancer.Prune(ed.roster.Contains)
+		ed.balancer.Prune(ed.config.Clock(), ed.roster.Contains)
 		ed.permits.prune(ed.config.Clock())
 	}
 	return nil
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -190,6 +190,12 @@
 		ed.balancer.RecordPeerRejection(ed.config.Clock(), nt.Rejected)
 		return
 	}
+	if nt.Leaving != "" {
+		if ed.roster.RecordLeaving(nt.Leaving) {
+			ed.config.Logger.Info("endpoint leaves", "process", nt.Leaving, "source", "peer")
+		}
+		return
+	}
 	if nt.Configuration != nil {
 		ed.configWatcher.applyNotice(*nt.Configuration)
 		return
@@ -215,6 +221,13 @@
 	}
 }
 
+// NotifyLeaving notifies the peers that a process of an endpoint has said that it leaves.
+func (ed *Edge) NotifyLeaving(process string) {
+	if !ed.notifier.Send(mesh.Notice{Leaving: process}) {
+		ed.metrics.Counter("weir_notices_dropped_total").Inc()
+	}
+}
+
 // NotifyDispatch notifies the peers of a prompt sent to an endpoint if its uncached tokens are at least minNoticeTokens.
 func (ed *Edge) NotifyDispatch(endpoint string, prefixID uint64, tokens int64) {
 	if tokens >= minNoticeTokens && !ed.notifier.Send(mesh.Notice{Endpoint: endpoint, PrefixID: prefixID, UncachedTokens: tokens}) {
--- a/internal/edge/paths.go
+++ b/internal/edge/paths.go
@@ -91,7 +91,7 @@
 	switch {
 	case pa.edge.Draining():
 		return nil, eris.New("the instance is shutting down")
-	case !ok || en.Leaving:
+	case !ok || pa.edge.roster.Leaving(en):
 		return nil, eris.Errorf("the endpoint %q gets no new requests", endpoint)
 	case pa.tracker.Cut():
 		return nil, eris.New("this instance reaches no endpoint itself")
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -291,13 +291,15 @@
 	if ri.HasRateLimit {
 		fw.recordRateLimit(de, at, ri.RateLimit)
 	}
+	fw.recordAvailability(de, at, ri)
 	at.RecordResponse()
 	if ri.HasBrittleness && at.RecordBrittleness(pr.now(), pr.service.Name, ri.Brittleness) {
 		cf.Logger.Info("brittleness", "endpoint", de.Endpoint.ID, "brittle", ri.Brittleness.Brittle, "perSecond", ri.Brittleness.PerSecond, "request", pr.info.ID)
 	}
 	if ri.Declined {
 		fw.recordRejection(de, at, ex.Response.StatusCode)
-		return place.Declined, fault.New(fault.Refused, fault.NotRun, "the endpoint declined the request")
+		delay := cf.Board.TimeToWilling(pr.now(), cf.Roster.Usable(pr.service.Name))
+		return place.Declined, fault.New(fault.Refused, fault.NotRun, "the endpoint declined the request").WithRetryAfter(delay)
 	}
 	fw.verdict = fault.MayHaveRun
 	if pr.route.Stream && ex.Response.StatusCode < 300 && ri.Genuine {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -76,6 +76,8 @@
 	NotifyDispatch(endpoint string, prefixID uint64, uncachedTokens int64)
 	// NotifyRejection announces that a process of a brittle endpoint has rejected a request, and never blocks.
 	NotifyRejection(process string)
+	// NotifyLeaving announces that a process of an endpoint has said that it leaves, and never blocks.
+	NotifyLeaving(process string)
 	// NotifyRateLimit announces what a response said about the rate limit of a process of an endpoint, and never blocks.
 	NotifyRateLimit(process string, st limit.Statement)
 }
--- a/internal/gate/protocol.go
+++ b/internal/gate/protocol.go
@@ -60,6 +60,10 @@
 	HasBrittleness bool
 	// Brittleness is what the endpoint says of it, if HasBrittleness is set.
 	Brittleness place.Brittleness
+	// Leaving reports whether the endpoint says that it leaves.
+	Leaving bool
+	// RefusalTime is the time for which the endpoint wants no requests from this instance, or zero.
+	RefusalTime time.Duration
 	// RateLimit is the endpoint's rate limit or the withdrawal of one, if HasRateLimit is set.
 	RateLimit limit.Statement
 }
--- a/internal/mesh/notifier.go
+++ b/internal/mesh/notifier.go
@@ -43,6 +43,9 @@
 	// Rejected is set instead of the other fields, to the name of a process of a brittle endpoint that has rejected a request; builds that do not know
 	// it discard the notice.
 	Rejected string `cbor:"8,keyasint,omitempty"`
+	// Leaving is set instead of the other fields, to the name of a process of an endpoint that has said that it leaves; builds that do not know it
+	// discard the notice.
+	Leaving string `cbor:"9,keyasint,omitempty"`
 }
 
 // ConfigurationNotice tells the others that an instance has a higher version of the configuration than the store.
--- a/pkg/place/balancer.go
+++ b/pkg/place/balancer.go
@@ -54,6 +54,8 @@
 	// slices are reused by the next decision.
 	candidates []candidate
 	withheld   []*state
+	// unwilling are the endpoints of the current decision that want no requests from this instance.
+	unwilling []*state
 	// limited is the number of endpoints of the current decision that have a rate limit.
 	limited int
 	limits  rateLimits
@@ -96,6 +98,9 @@
 	if de.Endpoint == nil && ba.full > 0 {
 		return ba.refuseFull(len(list))
 	}
+	if de.Endpoint == nil && len(ba.unwilling) > 0 {
+		return ba.refuseUnwanted(now, len(list))
+	}
 	if de.Endpoint == nil {
 		return Decision{Reason: "every endpoint was tried", RetryAfter: minRetryAfter, Candidates: len(list)}
 	}
@@ -238,12 +243,13 @@
 	return st
 }
 
-// Prune removes the endpoints for which known returns false, except those with requests of this instance in flight.
-func (ba *Balancer) Prune(known func(id string) bool) {
+// Prune removes the endpoints for which known returns false, except those with requests of this instance in flight and those that want no requests and may
+// return.
+func (ba *Balancer) Prune(now time.Duration, known func(id string) bool) {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
 	for id, st := range ba.states {
-		if st.running == 0 && !known(id) {
+		if st.running == 0 && !st.refuses(now) && !known(id) {
 			delete(ba.states, id)
 		}
 	}
--- a/pkg/place/ratelimit.go
+++ b/pkg/place/ratelimit.go
@@ -43,7 +43,7 @@
 // collect sorts the endpoints of a decision into candidates and withheld ones.
 func (ba *Balancer) collect(now time.Duration, se *plan.Service, list []*roster.Endpoint, rq Request, anyCircuit bool) {
 	ba.candidates, ba.withheld, ba.limited = ba.candidates[:0], ba.withheld[:0], 0
-	ba.full = 0
+	ba.full, ba.unwilling = 0, ba.unwilling[:0]
 	ba.fleet.service(se.Name).endpoints = len(list)
 	for _, en := range list {
 		st := ba.state(now, en, se)
@@ -51,6 +51,8 @@
 			ba.limited++
 		}
 		switch {
+		case st.refuses(now):
+			ba.unwilling = append(ba.unwilling, st)
 		case st.room(now, se, &ba.fleet) == noRoom:
 			ba.full++
 		case !st.rateLimit.Limited || st.permits.Usable(now):
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -62,6 +62,8 @@
 	permits limit.Permits
 	// brittle is what is known of the endpoint's brittleness.
 	brittle brittleState
+	// refusesUntil is the time until which the endpoint wants no requests from this instance.
+	refusesUntil time.Duration
 	// rateNoticeAt is the time of the last notice of the rate limit, sent or received.
 	rateNoticeAt time.Duration
 }
--- a/pkg/roster/builds.go
+++ b/pkg/roster/builds.go
@@ -20,7 +20,7 @@
 	for _, en := range ro.byID {
 		bu, build := next[en.Service], en.Build()
 		bu.Registered = insert(bu.Registered, build)
-		if !en.Leaving {
+		if !ro.leaving(en) {
 			bu.Usable = insert(bu.Usable, build)
 		}
 		next[en.Service] = bu
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -118,13 +118,15 @@
 	lastRead atomic.Int64
 	// services holds the endpoints that accept new requests, by service.
 	services atomic.Pointer[map[string][]*Endpoint]
+	// left holds the processes that have said themselves that they leave, whatever their registrations state.
+	left map[string]bool
 	// builds holds the builds of the endpoints of each service.
 	builds atomic.Pointer[map[string]Builds]
 }
 
 // New returns a roster without endpoints.
 func New() *Roster {
-	ro := &Roster{byID: map[string]*Endpoint{}, missing: map[string]bool{}, latest: map[string]version{}}
+	ro := &Roster{byID: map[string]*Endpoint{}, missing: map[string]bool{}, latest: map[string]version{}, left: map[string]bool{}}
 	ro.publish()
 	return ro
 }
@@ -244,6 +246,9 @@
 		}
 		ro.latest[ch.ID] = version{started: ch.Endpoint.StartedMillis, sequence: ch.Endpoint.Sequence}
 		delete(ro.missing, ch.ID)
+		if known && !ch.Endpoint.SameProcess(*old) {
+			delete(ro.left, old.Process())
+		}
 		ro.byID[ch.ID] = ch.Endpoint
 		return !known || !ch.Endpoint.samePlacement(*old)
 	}
@@ -277,7 +282,7 @@
 func (ro *Roster) publish() {
 	services := map[string][]*Endpoint{}
 	for _, en := range ro.byID {
-		if !en.Leaving {
+		if !ro.leaving(en) {
 			services[en.Service] = append(services[en.Service], en)
 		}
 	}
