RECOVER: connections that are accepted and then reset count as a cut link

An instance whose connections to all endpoints were accepted and then reset took each reset for a crash: sound prompt parts were quarantined, and nothing was served there, not even after the resets had ended. Cause: a crash was concluded from one connection, seen from one place. Class: a belief about another process from one's own link.

Before a broken connection counts as a crash, two other endpoints are probed over the same path, directly or through a peer; calls at the same time share the check. If none answers, the link counts as cut. A crash that is one is counted as before, a round trip later.

--- a/internal/edge/isolated_test.go
+++ b/internal/edge/isolated_test.go
@@ -134,6 +134,8 @@
 		{"responses are lost", stand.ResponsesSilenced},
 		{"connections are reset", stand.Reset},
 		{"new connections are refused", stand.RefusingNew},
+		{"connections are accepted and reset", stand.Resetting},
+		{"new connections are accepted and reset", stand.ResettingNew},
 	}
 	for _, tc := range cases {
 		tt.Run(tc.name, func(tt *testing.T) {
--- a/internal/edge/paths.go
+++ b/internal/edge/paths.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
-	"math/rand/v2"
 	"net"
 	"time"
 
@@ -17,19 +14,15 @@
 const (
 	// pathInterval is the interval at which the path to the endpoints is checked.
 	pathInterval = 100 * time.Millisecond
-	// probeTimeout bounds a probe of the path to an endpoint.
-	probeTimeout = 400 * time.Millisecond
 )
 
-// probeRequest is a request that every endpoint answers, and that none runs.
-const probeRequest = "OPTIONS * HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-
 // paths opens connections to endpoints, through peers while this instance reaches none itself. Peers are asked to open direct connections only, so that
 // no connection goes in circles.
 type paths struct {
 	edge    *Edge
 	direct  conns.DirectDialer
 	tracker *reach.Tracker
+	probes  probes
 	// cutAt is the time at which the link was last found cut; it is used by the loop alone.
 	cutAt time.Duration
 	// reported is whether the link counted as cut when the loop last looked.
@@ -46,6 +39,11 @@
 			return nc, "", err
 		}
 	}
+	return pa.relay(ctx, endpoint, address)
+}
+
+// relay opens a connection to an endpoint through a peer.
+func (pa *paths) relay(ctx context.Context, endpoint, _ string) (net.Conn, string, error) {
 	domain := ""
 	if en, ok := pa.edge.roster.Endpoint(endpoint); ok {
 		domain = en.Domain
@@ -107,7 +105,7 @@
 		if pa.tracker.Check(now) {
 			pa.edge.balancer.ForgetLoad(now)
 		}
-		if pa.tracker.TakeProbe(now) && pa.probe(ctx) {
+		if pa.tracker.TakeProbe(now) && pa.probeAny(ctx, "", pa.direct.Dial) {
 			pa.tracker.Recovered(pa.edge.config.Clock())
 			pa.edge.balancer.ForgetLoad(pa.edge.config.Clock())
 		}
@@ -116,29 +114,6 @@
 	return nil
 }
 
-// probe sends a request to a random endpoint and reports whether anything came back.
-func (pa *paths) probe(ctx context.Context) bool {
-	list := pa.edge.roster.All()
-	if len(list) == 0 {
-		return false
-	}
-	en := list[rand.IntN(len(list))]
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	nc, _, err := pa.direct.Dial(ctx, en.ID, en.Address)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = nc.Close() }()
-	_ = nc.SetDeadline(time.Now().Add(probeTimeout))
-	if _, err := fmt.Fprintf(nc, probeRequest, en.Address); err != nil {
-		return false
-	}
-	var first [1]byte
-	_, err = io.ReadFull(nc, first[:])
-	return err == nil
-}
-
 // report logs that the link to the endpoints was lost or regained.
 func (pa *paths) report(now time.Duration) {
 	cut := pa.tracker.Cut()
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -353,7 +353,8 @@
 		return
 	}
 	relayLost := errors.Is(err, conns.ErrRelayLost)
-	if relayLost || (pr.entry.relayPeer == "" && (pr.gate.config.Link.Silent() || pr.gate.config.Pool.BrokenTogether(de.Endpoint.Address))) {
+	direct := pr.entry.relayPeer == ""
+	if relayLost || (direct && (pr.gate.config.Link.Silent() || pr.gate.config.Pool.BrokenTogether(de.Endpoint.Address))) || !pr.gate.config.Link.Works(de.Endpoint.ID, !direct) {
 		pr.gate.config.Metrics.Counter("weir_links_broken_total").Inc()
 		pr.gate.config.Logger.Info("link broken", "request", pr.info.ID, "endpoint", de.Endpoint.ID, "relayedBy", pr.entry.relayPeer,
 			"relayLost", relayLost, "reason", err.Error())
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -67,6 +67,9 @@
 type Link interface {
 	// Silent reports whether this instance reaches no endpoint itself and hears from none.
 	Silent() bool
+	// Works reports whether other endpoints than the given one can be reached, directly or through peers, so that a broken connection to it says something
+	// about this endpoint. It takes the time of a round trip, or a little longer if no endpoint can be reached.
+	Works(endpoint string, relayed bool) bool
 }
 
 // Notifier notifies the other instances of dispatched requests.
--- a/internal/soak/cuts_test.go
+++ b/internal/soak/cuts_test.go
@@ -15,7 +15,7 @@
 		if random.IntN(6) == 0 {
 			list = wo.nodes
 		}
-		cut := stand.Cut(1 + random.IntN(int(stand.ResponsesSilenced)))
+		cut := stand.Cut(1 + random.IntN(int(stand.CutCount)-1))
 		for _, no := range list {
 			wo.cut(no, cut)
 		}
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -70,6 +70,8 @@
 	plainEndpoints []*stand.Endpoint
 	// brittleEndpoint is a model endpoint with few slots that is brittle during the whole soak; see makeBrittle.
 	brittleEndpoint *stand.Endpoint
+	// leaver is a model endpoint that leaves now and then.
+	leaver *leaver
 	// addresses holds the address of each endpoint's proxy.
 	addresses map[*stand.Endpoint]string
 	// replaced is the number of endpoints that were replaced by others.
@@ -100,6 +102,7 @@
 		wo.modelEndpoints = append(wo.modelEndpoints, wo.endpoint("model", firstModels+ix, eventsPerStream))
 	}
 	wo.makeBrittle()
+	wo.makeLeaver()
 	tt.Cleanup(wo.killAll)
 	return wo
 }
--- a/internal/soak/killed_test.go
+++ b/internal/soak/killed_test.go
@@ -79,6 +79,13 @@
 	}
 }
 
+// deregisterOthers removes the registrations of the model endpoints that have faults of their own.
+func (wo *world) deregisterOthers() {
+	for _, en := range []*stand.Endpoint{wo.brittleEndpoint, wo.leaver.endpoint} {
+		wo.store.Put(wire.RegistrationTopic, en.ID(), nil)
+	}
+}
+
 // TestStreamsAfterKillOfAllInstances kills all instances while streams have broken off that two versions began. Their callers resume them after the return.
 func TestStreamsAfterKillOfAllInstances(tt *testing.T) {
 	cases := []struct {
@@ -97,7 +104,7 @@
 		tt.Run(tc.name, func(tt *testing.T) {
 			wo := newWorld(tt, 4, 10_000_000)
 			awaitReady(tt, wo)
-			wo.store.Put(wire.RegistrationTopic, wo.brittleEndpoint.ID(), nil)
+			wo.deregisterOthers()
 			time.Sleep(releaseTime)
 			jo, client := &journal{}, newClient()
 			broken := wo.breakStreams(wo.nodes, client, jo)
@@ -121,7 +128,7 @@
 func TestStreamsAtInstanceOutOfStep(tt *testing.T) {
 	wo := newWorld(tt, 3, 10_000_000)
 	awaitReady(tt, wo)
-	wo.store.Put(wire.RegistrationTopic, wo.brittleEndpoint.ID(), nil)
+	wo.deregisterOthers()
 	for _, en := range wo.modelEndpoints {
 		wo.replace(en, "v1")
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -135,6 +135,7 @@
 	var faults sync.WaitGroup
 	faults.Go(func() { wo.injectChanges(rand.New(rand.NewPCG(seed, 1002))) })
 	faults.Go(func() { wo.injectCuts(rand.New(rand.NewPCG(seed, 1005))) })
+	faults.Go(func() { wo.injectLeaving(rand.New(rand.NewPCG(seed, 1006))) })
 	if restores {
 		faults.Go(func() { wo.injectRestores(rand.New(rand.NewPCG(seed, 1004))) })
 	}
@@ -151,6 +152,7 @@
 	wo.checkVersions(&jo)
 	limited.check(tt, &jo)
 	wo.checkFalls(&jo)
+	wo.checkLeaving(&jo)
 	if after := len(jo.withStatus(http.StatusOK)); after == served && wo.tokens(&jo) < wo.prepaid*9/10 {
 		tt.Errorf("no request was served within two seconds after the faults had ended, although prepaid tokens remained")
 	}
@@ -324,7 +326,7 @@
 // check compares the outcomes at the callers with the runs at the endpoints and with the prepaid tokens.
 func (wo *world) check(jo *journal) {
 	runs := map[string]int{}
-	for _, en := range append(append([]*stand.Endpoint{wo.brittleEndpoint}, wo.modelEndpoints...), wo.plainEndpoints...) {
+	for _, en := range append(wo.allModels(), wo.plainEndpoints...) {
 		for _, ru := range en.Runs() {
 			runs[ru.ID]++
 			if ru.Team != "team-1" || ru.Key != "" {
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -124,7 +124,7 @@
 		}
 	}
 	streams := map[string][]stand.Run{}
-	for _, en := range append([]*stand.Endpoint{wo.brittleEndpoint}, wo.modelEndpoints...) {
+	for _, en := range wo.allModels() {
 		for _, ru := range en.Runs() {
 			streams[begunBy[ru.ID]] = append(streams[begunBy[ru.ID]], ru)
 		}
--- a/pkg/reach/tracker.go
+++ b/pkg/reach/tracker.go
@@ -74,6 +74,17 @@
 	return true
 }
 
+// Broken records that connections to several endpoints were broken at once, and reports whether the link counts as cut from now on.
+func (tr *Tracker) Broken(now time.Duration) bool {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if tr.cut {
+		return false
+	}
+	tr.setCut(now)
+	return true
+}
+
 // Connected records that a connection to an endpoint was opened while the link did not count as cut.
 func (tr *Tracker) Connected() {
 	tr.mu.Lock()
--- a/pkg/reach/tracker_test.go
+++ b/pkg/reach/tracker_test.go
@@ -79,3 +79,19 @@
 		tt.Error("the link counts as cut after a probe was answered")
 	}
 }
+
+// TestBroken checks that the link counts as cut from the first check that reaches no endpoint, until a probe is answered.
+func TestBroken(tt *testing.T) {
+	tr := New()
+	if !tr.Broken(time.Second) || tr.Broken(time.Second) || !tr.Cut() {
+		tt.Error("the link must count as cut from the first call on")
+	}
+	tr.Connected()
+	if !tr.Cut() {
+		tt.Error("a connection that was opened must not end the cut: it may be reset")
+	}
+	tr.Recovered(2 * time.Second)
+	if tr.Cut() {
+		tt.Error("an answered probe must end the cut")
+	}
+}
