--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -315,6 +315,9 @@
 	switch {
 	case pr.httpRequest.Context().Err() != nil:
 		fw.verdict = fw.verdict.Max(fa.Verdict())
+		if fa.Verdict() != fault.NotRun {
+			pr.updateCost(fw.eventCount)
+		}
 		return place.Canceled, err
 	case fa.Verdict() == fault.NotRun:
 		return place.Unreachable, err
