--- a/review/build.sh
+++ b/review/build.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target
 go build -o target/review-driver ./review/testdata/driver
+go build -o target/review-purse ./review/testdata/purse
