--- a/review/former/1/run.sh
+++ b/review/5/run.sh
@@ -8,4 +8,4 @@
   echo "build first: the build line of deploy/system.toml, and review/build.sh"
   exit 2
 fi
-exec target/review-driver stop review/1/record.txt
+exec target/review-driver stop review/5/record.txt
