--- a/internal/conns/exchange.go
+++ b/internal/conns/exchange.go
@@ -66,7 +66,9 @@
 	stop func() bool
 	// arrived ends the wait for the first data of the response.
 	arrived  func()
+	// written is closed when the writing of the request has ended, with the error in writeErr.
 	written  chan struct{}
+	writeErr error
 	complete bool
 	// bodiless reports whether a response of this kind has no body, as to HEAD.
 	bodiless bool
@@ -138,16 +140,24 @@
 	ex.conn.close()
 }
 
-// fullyWritten reports whether the writing of the request has ended.
+// fullyWritten reports whether the request was written completely.
 func (ex *Exchange) fullyWritten() bool {
 	select {
 	case <-ex.written:
-		return true
+		return ex.writeErr == nil
 	default:
 		return false
 	}
 }
 
+// endWrite ends the writing of the request and reports whether the request was written completely.
+func (ex *Exchange) endWrite() bool {
+	_ = ex.conn.net.SetWriteDeadline(time.Now())
+	<-ex.written
+	_ = ex.conn.net.SetWriteDeadline(time.Time{})
+	return ex.writeErr == nil
+}
+
 // send writes a small request, or starts to write a large one concurrently.
 func (ex *Exchange) send(rq Request) error {
 	head := encodeHead(rq)
@@ -156,15 +166,14 @@
 		return nil
 	}
 	defer close(ex.written)
-	_, err := ex.conn.net.Write(append(head, rq.Body...))
-	return err
+	_, ex.writeErr = ex.conn.net.Write(append(head, rq.Body...))
+	return ex.writeErr
 }
 
-// runWrite writes a large request while the response is read. If the write fails, reading the response fails as well.
+// runWrite writes a large request while the response is read.
 func (ex *Exchange) runWrite(data net.Buffers) {
-	if _, err := data.WriteTo(ex.conn.net); err == nil {
-		close(ex.written)
-	}
+	defer close(ex.written)
+	_, ex.writeErr = data.WriteTo(ex.conn.net)
 }
 
 // encodeHead returns the request line and the headers. The body is not copied, since it may be large.
@@ -230,9 +239,14 @@
 
 func (bo *body) Read(data []byte) (int, error) {
 	count, err := bo.source.Read(data)
-	if errors.Is(err, io.EOF) {
-		bo.exchange.complete = true
+	if !errors.Is(err, io.EOF) {
+		return count, err
+	}
+	if !bo.exchange.Framed() && !bo.exchange.endWrite() {
+		// A reset that fails the writing of the request is reported there only; the reader then sees a regular end.
+		return count, io.ErrUnexpectedEOF
 	}
+	bo.exchange.complete = true
 	return count, err
 }
 
