--- a/internal/conns/exchange.go
+++ b/internal/conns/exchange.go
@@ -65,7 +65,7 @@
 	id   string
 	stop func() bool
 	// arrived ends the wait for the first data of the response.
-	arrived  func()
+	arrived func()
 	// written is closed when the writing of the request has ended, with the error in writeErr.
 	written  chan struct{}
 	writeErr error
@@ -222,15 +222,20 @@
 		if err != nil {
 			return nil, err
 		}
-		if rs.StatusCode >= http.StatusOK {
+		switch {
+		case !ValidStatus(rs.StatusCode):
+			return nil, eris.Errorf("the endpoint sent a response with the status %03d", rs.StatusCode)
+		case rs.StatusCode >= http.StatusOK:
 			return rs, nil
-		}
-		if rs.StatusCode == http.StatusSwitchingProtocols {
+		case rs.StatusCode == http.StatusSwitchingProtocols:
 			return nil, eris.New("the endpoint switched protocols")
 		}
 	}
 }
 
+// ValidStatus reports whether HTTP defines a class for the status of a response. The parser accepts any three digits.
+func ValidStatus(status int) bool { return status >= http.StatusContinue && status < 600 }
+
 // body is a response body that marks its exchange as complete at the end.
 type body struct {
 	exchange *Exchange
--- a/internal/conns/exchange_test.go
+++ b/internal/conns/exchange_test.go
@@ -74,6 +74,10 @@
 		{"a late copy without end", fakes.RawServer{Answers: []string{one, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 99999999\r\n\r\n"}, Endless: strings.Repeat("a", 1000)}, []result{
 			{Status: 200, Body: "one", Complete: true}, maybe,
 		}},
+		{"the status 000", fakes.RawServer{Answers: []string{"HTTP/1.1 000 \r\nId: 1\r\nContent-Length: 3\r\n\r\none"}}, []result{maybe}},
+		{"the status 000 before the answer", fakes.RawServer{Answers: []string{"HTTP/1.1 000 \r\nId: 1\r\n\r\n" + one}}, []result{maybe}},
+		{"the status 099", fakes.RawServer{Answers: []string{"HTTP/1.1 099 Odd\r\nId: 1\r\nContent-Length: 3\r\n\r\none"}}, []result{maybe}},
+		{"the status 600", fakes.RawServer{Answers: []string{"HTTP/1.1 600 Odd\r\nId: 1\r\nContent-Length: 3\r\n\r\none"}}, []result{maybe}},
 		{"a body without end", fakes.RawServer{Answers: []string{"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"}, Endless: strings.Repeat("a", 1000)}, []result{
 			{Status: 200, Body: strings.Repeat("a", 1000)},
 		}},
--- a/internal/conns/upload_test.go
+++ b/internal/conns/upload_test.go
@@ -1,15 +1,13 @@
 package conns_test
 
 import (
-	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/clementineweir/clementineweir/internal/conns"
+	"github.com/clementineweir/clementineweir/internal/fakes"
 	"github.com/clementineweir/clementineweir/pkg/fault"
 )
 
@@ -20,53 +18,6 @@
 	uploadRounds = 40
 )
 
-// earlyServer answers each request as soon as it has read its head, and then resets or closes the connection without reading the body.
-type earlyServer struct {
-	listener net.Listener
-	answer   string
-	// reset is set if the server resets the connection; otherwise it reads the body first.
-	reset bool
-}
-
-func newEarlyServer(tt *testing.T, answer string, reset bool) *earlyServer {
-	li, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		tt.Fatal(err)
-	}
-	es := &earlyServer{listener: li, answer: answer, reset: reset}
-	tt.Cleanup(func() { _ = li.Close() })
-	go es.runAccept()
-	return es
-}
-
-func (es *earlyServer) runAccept() {
-	for {
-		nc, err := es.listener.Accept()
-		if err != nil {
-			return
-		}
-		go es.runConn(nc)
-	}
-}
-
-func (es *earlyServer) runConn(nc net.Conn) {
-	defer func() { _ = nc.Close() }()
-	rq, err := http.ReadRequest(bufio.NewReader(nc))
-	if err != nil {
-		return
-	}
-	if _, err := io.WriteString(nc, es.answer); err != nil {
-		return
-	}
-	if !es.reset {
-		_, _ = io.Copy(io.Discard, rq.Body)
-		return
-	}
-	// The client reads the head and a part of the body before the reset.
-	time.Sleep(5 * time.Millisecond)
-	_ = nc.(*net.TCPConn).SetLinger(0)
-}
-
 // TestUnframedResponseResetDuringUpload guards against a reset that the goroutine which writes the request takes off the socket: the reader then sees a
 // regular end, and a response without length and chunks would count as complete.
 func TestUnframedResponseResetDuringUpload(tt *testing.T) {
@@ -82,11 +33,16 @@
 	body := make([]byte, uploadBytes)
 	for _, tc := range cases {
 		tt.Run(tc.name, func(tt *testing.T) {
-			es := newEarlyServer(tt, answer, tc.reset)
+			rs := fakes.RawServer{Answers: []string{answer}, Early: true, Reset: tc.reset}
+			address, err := rs.Start()
+			if err != nil {
+				tt.Fatal(err)
+			}
+			defer rs.Close()
 			po := conns.NewPool(conns.DirectDialer{}, func() {})
 			complete := 0
 			for range uploadRounds {
-				if upload(tt, po, es.listener.Addr().String(), body) {
+				if upload(tt, po, address, body) {
 					complete++
 				}
 			}
--- a/internal/fakes/raw.go
+++ b/internal/fakes/raw.go
@@ -27,7 +27,9 @@
 	// Endless is sent again and again after the last answer until the client closes the connection, if it is not empty.
 	Endless string
 	// Reset ends each connection with a reset after the last answer.
-	Reset    bool
+	Reset bool
+	// Early sends each answer as soon as the head of its request has arrived. The body is read after the answer, or not at all before a reset.
+	Early    bool
 	listener net.Listener
 	sent     chan int
 }
@@ -73,7 +75,7 @@
 		if err != nil {
 			return 0
 		}
-		if _, err := io.Copy(io.Discard, rq.Body); err != nil {
+		if !rs.readBody(rq, !rs.Early) {
 			return 0
 		}
 		id := rq.Header.Get(headerRequestID)
@@ -81,6 +83,9 @@
 		if _, err := io.WriteString(nc, text); err != nil {
 			return 0
 		}
+		if !rs.readBody(rq, rs.Early && !rs.Reset) {
+			return 0
+		}
 		previous = id
 	}
 	if tc, ok := nc.(*net.TCPConn); ok && rs.Reset {
@@ -97,3 +102,12 @@
 	}
 	return sent
 }
+
+// readBody reads the body of a request if due is set, and reports whether that succeeded.
+func (rs *RawServer) readBody(rq *http.Request, due bool) bool {
+	if !due {
+		return true
+	}
+	_, err := io.Copy(io.Discard, rq.Body)
+	return err == nil
+}
--- a/internal/runner/client.go
+++ b/internal/runner/client.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/clementineweir/clementineweir/internal/conns"
 	"github.com/clementineweir/clementineweir/internal/space"
 	"github.com/clementineweir/clementineweir/pkg/engine"
 	"github.com/clementineweir/clementineweir/pkg/fault"
@@ -111,8 +112,10 @@
 // send sends the request. An error has the verdict NotRun only if not even the headers of the request were written.
 func (cl *Client) send(ctx context.Context, hc *http.Client, ca engine.Call, body []byte) (*http.Response, error) {
 	var wrote, reused atomic.Bool
+	upload := newUploadState()
 	trace := &httptrace.ClientTrace{
 		WroteHeaders: func() { wrote.Store(true) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) { upload.end(info.Err) },
 		GotConn:      func(info httptrace.GotConnInfo) { reused.Store(info.Reused) },
 	}
 	rq, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), ca.Method, ca.Endpoint.Address+ca.Path, singleUseBody(body))
@@ -125,7 +128,8 @@
 	rq.Close = !echoes
 	rs, err := hc.Do(rq)
 	if err == nil {
-		return rs, cl.checkID(rs, ca, reused.Load())
+		upload.guard(ctx, rs)
+		return rs, cl.checkResponse(rs, ca, reused.Load())
 	}
 	if !wrote.Load() {
 		return nil, fault.Wrap(err, fault.Upstream, fault.NotRun, "the endpoint could not be reached")
@@ -133,8 +137,13 @@
 	return nil, fault.Wrap(err, fault.Upstream, fault.MayHaveRun, "the endpoint did not answer")
 }
 
-// checkID returns an error, and closes the response, if it may belong to another call; reused reports whether the connection had carried one.
-func (cl *Client) checkID(rs *http.Response, ca engine.Call, reused bool) error {
+// checkResponse returns an error, and closes the response, if its status is none or if it may belong to another call; reused reports whether the connection
+// had carried one.
+func (cl *Client) checkResponse(rs *http.Response, ca engine.Call, reused bool) error {
+	if !conns.ValidStatus(rs.StatusCode) {
+		closeBody(rs)
+		return fault.New(fault.Upstream, fault.MayHaveRun, "the endpoint sent a response without a valid status")
+	}
 	echo := rs.Header.Get(HeaderRequestID)
 	if echo == ca.ID {
 		cl.echoing.Store(ca.Endpoint.Address, true)
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -86,6 +86,8 @@
 	// prepaid is the number of tokens that the team has prepaid so far, version the version of the configuration.
 	prepaid int64
 	version int
+	// bodyBytes is the largest request body, zero for that of the stand-in.
+	bodyBytes int
 }
 
 func newWorld(tt *testing.T, count int, prepaid int64) *world {
@@ -163,7 +165,7 @@
 	wo.version++
 	data := stand.Manifest{
 		Version: wo.version, Host: host, TimeoutMs: int(wo.timeout.Milliseconds()), TargetMs: 500, Model: "model", Plain: "plain", Stride: tokensPerEvent,
-		Team: "team-1", Key: teamKey, Prepaid: wo.prepaid,
+		Team: "team-1", Key: teamKey, Prepaid: wo.prepaid, MaxBodyBytes: wo.bodyBytes,
 		Routes: []stand.Route{
 			{Name: "resume", Kind: "streaming", Service: "model", Sends: 2, Resume: true},
 			{Name: "stream", Kind: "streaming", Service: "model", Sends: 1},
--- a/internal/soak/raw_test.go
+++ b/internal/soak/raw_test.go
@@ -19,13 +19,21 @@
 type rawEndpoint struct {
 	mu     sync.Mutex
 	handle rawHandler
+	// early is set if the handler is called before the body of the request is read.
+	early bool
 	// began is the number of runs by request ID.
 	began map[string]int
 }
 
-// addRaw starts a raw endpoint and registers it.
+// addRaw starts a raw endpoint behind the links of the nodes and registers it.
 func (wo *world) addRaw(id, service string, handle rawHandler) *rawEndpoint {
 	re := &rawEndpoint{handle: handle, began: map[string]int{}}
+	wo.startRaw(id, service, re, wo.nodes)
+	return re
+}
+
+// startRaw starts a raw endpoint and registers it; the given nodes reach it through their links.
+func (wo *world) startRaw(id, service string, re *rawEndpoint, linked []*node) {
 	li, err := net.Listen("tcp", stand.Loopback()+":0")
 	if err != nil {
 		wo.tt.Fatal(err)
@@ -34,11 +42,10 @@
 	go re.runAccept(li)
 	en := stand.NewEndpoint(stand.EndpointConfig{ID: id, Service: service, Domain: "zone-a", Slots: 64})
 	wo.addresses[en] = li.Addr().String()
-	for _, no := range wo.nodes {
+	for _, no := range linked {
 		wo.link(no, wo.addresses[en])
 	}
 	wo.store.Put(wire.RegistrationTopic, id, en.Registration(wo.addresses[en], "ready", 1))
-	return re
 }
 
 func (re *rawEndpoint) runAccept(li net.Listener) {
@@ -59,8 +66,10 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, rq.Body); err != nil {
-			return
+		if !re.early {
+			if _, err := io.Copy(io.Discard, rq.Body); err != nil {
+				return
+			}
 		}
 		re.mu.Lock()
 		handle := re.handle
