--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -12,6 +12,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -194,19 +195,21 @@
 		return
 	}
 	done := make(chan struct{})
+	requestWriter := &endpointWriter{conn: far}
 	go func() {
 		defer close(done)
 		// The peer ends its side only to end the exchange, so that the endpoint must notice.
-		_, _ = io.CopyBuffer(writerOnly{far}, readerOnly{requests}, make([]byte, relayBufferBytes))
+		_, _ = io.CopyBuffer(requestWriter, readerOnly{requests}, make([]byte, relayBufferBytes))
 		_ = far.Close()
 	}()
-	forwardFrames(near, far)
+	forwardFrames(near, far, requestWriter.end)
 	_ = near.Close()
 	<-done
 }
 
-// forwardFrames forwards the data of an endpoint to the peer in frames, and says at the end how the endpoint's connection ended.
-func forwardFrames(near io.Writer, far io.Reader) {
+// forwardFrames forwards the data of an endpoint to the peer in frames, and says at the end how the endpoint's connection ended. endRequest ends the writing
+// of the request and reports whether no write has failed.
+func forwardFrames(near io.Writer, far io.Reader, endRequest func() bool) {
 	buffer := make([]byte, frameHeaderBytes+relayBufferBytes)
 	for {
 		count, err := far.Read(buffer[frameHeaderBytes:])
@@ -220,7 +223,7 @@
 			continue
 		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return
-		case errors.Is(err, io.EOF):
+		case errors.Is(err, io.EOF) && endRequest():
 			_, _ = near.Write(frame(buffer, 0))
 		default:
 			_, _ = near.Write(endFrame(frameReset))
@@ -229,7 +232,29 @@
 	}
 }
 
-// readerOnly and writerOnly hide the methods by which io.Copy would hand the copying over to the kernel.
+// readerOnly hides the methods by which io.Copy would hand the copying over to the kernel.
 type readerOnly struct{ io.Reader }
 
-type writerOnly struct{ io.Writer }
+// endpointWriter writes a request to an endpoint. A reset that fails a write is reported there only, and reading from the connection then ends as if the
+// endpoint had closed it.
+type endpointWriter struct {
+	conn   net.Conn
+	mu     sync.Mutex
+	failed bool
+}
+
+func (ew *endpointWriter) Write(data []byte) (int, error) {
+	ew.mu.Lock()
+	defer ew.mu.Unlock()
+	count, err := ew.conn.Write(data)
+	ew.failed = ew.failed || err != nil
+	return count, err
+}
+
+// end interrupts a write that is in progress and reports whether all writes have succeeded.
+func (ew *endpointWriter) end() bool {
+	_ = ew.conn.SetWriteDeadline(time.Now())
+	ew.mu.Lock()
+	defer ew.mu.Unlock()
+	return !ew.failed
+}
--- a/internal/mesh/relay_test.go
+++ b/internal/mesh/relay_test.go
@@ -177,3 +177,28 @@
 		})
 	}
 }
+
+// TestRelayedResetDuringUpload guards against a reset that the peer's writing of the request takes off the socket, so that a response without length and
+// chunks seems to have ended regularly.
+func TestRelayedResetDuringUpload(tt *testing.T) {
+	const rounds = 30
+	upload := make([]byte, 16<<20)
+	for range rounds {
+		count := func() {}
+		se := httptest.NewServer(NewRelayServer(stubDialer{address: startEndpoint(tt, "part", true, true)}, nil, count, count))
+		raw, err := net.Dial("tcp", se.Listener.Addr().String())
+		if err != nil {
+			tt.Fatal(err)
+		}
+		nc, err := upgrade(raw, "endpoint")
+		if err != nil {
+			tt.Fatal(err)
+		}
+		go func() { _, _ = nc.Write(upload) }()
+		if _, err := io.ReadAll(nc); err == nil {
+			tt.Error("the response ended regularly, want an error, since the endpoint has reset the connection")
+		}
+		_ = nc.Close()
+		se.Close()
+	}
+}
