Gate: state the urgency of requests to model endpoints

Endpoints admit more urgent requests first, but the routed interface never stated an urgency, so all requests counted as equally urgent there.

The rank of a request is the priority of its route, or that of its team if the configuration has one. Where the requests to a model service can have more than one rank, the urgency sent to endpoints is 3 + rank, at most 7. It is the same for all attempts of a request. Values of callers are still dropped. The request's log line has the field urgency.

--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -41,6 +41,8 @@
 	stopping bool
 	// quarantined reports whether the request was refused because it is expected to crash endpoints.
 	quarantined bool
+	// urgency is the urgency that was stated to the endpoint, or zero.
+	urgency int
 }
 
 func (le *logEntry) recordDecision(de place.Decision) {
@@ -156,6 +158,9 @@
 	if le.withheld > 0 || le.permitFrom != "" {
 		args = append(args, "withheld", le.withheld, "permitFrom", le.permitFrom)
 	}
+	if le.urgency > 0 {
+		args = append(args, "urgency", le.urgency)
+	}
 	if le.stopping {
 		args = append(args, "stopsIn", seconds(le.stopsIn))
 	}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -278,6 +278,7 @@
 		cf.Metrics.Counter("weir_rate_limited_sends_total").Inc()
 	}
 	pr.entry.recordAttempt(de)
+	pr.entry.urgency = pr.urgency()
 	out, err := fw.exchange(de, at)
 	at.End(pr.now(), out)
 	return err
@@ -298,7 +299,7 @@
 	ex, err := cf.Pool.Do(ctx, de.Endpoint.Address, conns.Request{
 		ID: pr.info.ID, Endpoint: de.Endpoint.ID, Method: pr.httpRequest.Method, Target: pr.httpRequest.RequestURI, Host: pr.httpRequest.Host, Body: pr.body,
 		Header: cf.Protocol.EndpointHeaders(pr.httpRequest.Header, ForwardInfo{
-			Endpoint: de.Endpoint.ID, Team: pr.team, Left: pr.timeLeft(), LastEvent: fw.lastEventID, CopyFrom: de.CopyAddress(),
+			Endpoint: de.Endpoint.ID, Team: pr.team, Left: pr.timeLeft(), LastEvent: fw.lastEventID, CopyFrom: de.CopyAddress(), Urgency: pr.entry.urgency,
 		}),
 		Matches: pr.matches,
 	})
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -166,7 +166,9 @@
 	team        string
 	// limited reports whether the team has a limited prepaid total.
 	limited bool
-	body    []byte
+	// rank is the urgency of the request among those of its service; 0 is the most urgent.
+	rank int
+	body []byte
 	// memory is the account of the bodies that the request buffers.
 	memory *space.Account
 	// traits are the properties by which the quarantine recognizes requests that crash endpoints.
@@ -244,6 +246,7 @@
 }
 
 func (pr *proxyRequest) findTeam() error {
+	pr.rank = pr.route.Rank(nil)
 	if pr.route.Anonymous {
 		return nil
 	}
@@ -253,6 +256,7 @@
 	}
 	pr.team = te.Name
 	pr.limited = te.Limited
+	pr.rank = pr.route.Rank(te)
 	return nil
 }
 
--- a/internal/gate/protocol.go
+++ b/internal/gate/protocol.go
@@ -42,6 +42,8 @@
 	CopyFrom string
 	// LastEvent is the ID of the last event already received; the stream resumes with the next one. It is zero if the stream starts anew.
 	LastEvent int64
+	// Urgency is the urgency of the request at the endpoint: 1 is the most urgent and 9 the least, and zero states none.
+	Urgency int
 }
 
 // ResponseInfo holds the values that the gate takes from the headers of an endpoint's response.
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -29,6 +29,8 @@
 	keys map[string]*Team
 	// teams holds the teams by name.
 	teams map[string]*Team
+	// mixedRanks holds the services whose requests can have more than one rank.
+	mixedRanks map[string]bool
 }
 
 // New returns the plan of a configuration.
@@ -56,6 +58,7 @@
 			pl.keys[key] = te
 		}
 	}
+	pl.mixedRanks = pl.findMixedRanks()
 	return pl
 }
 
--- a/pkg/plan/types.go
+++ b/pkg/plan/types.go
@@ -80,7 +80,7 @@
 	Prepaid int64
 	// HasPriority is true if the configuration sets Priority.
 	HasPriority bool
-	// Priority is the priority of the team. It has no effect: the urgency of a request is Route.Priority.
+	// Priority is the priority of the team, which goes before Route.Priority in the rank of its requests (see Route.Rank).
 	Priority int
 }
 
