Gate, turn: refused callers come back in turn

Retry-After of a refusal did not consider how many other callers were told the same, so that herds of callers came back at once and were refused again.

The new package pkg/turn keeps a schedule for each service: it measures how many requests complete a second at this instance and gives half of it to returning callers, in slots of 50 ms. More urgent callers find room in earlier slots, a team beyond its fair share fills half of a slot only, and no delay is longer than a third of the time that the caller has left. The gate asks it for the delay of refusals for lack of capacity and of tokens. The log line of the request has the fields slot and reserved, and weir_refusals_scheduled_total counts the refusals with a free slot.

Tests of pkg/turn, internal/gate and internal/edge pass.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/clementineweir/clementineweir/pkg/quota"
 	"github.com/clementineweir/clementineweir/pkg/retry"
 	"github.com/clementineweir/clementineweir/pkg/roster"
+	"github.com/clementineweir/clementineweir/pkg/turn"
 )
 
 // grantShards is the number of partitions of the grant topic. Teams are spread over them, since a partition takes only one append every few
@@ -105,6 +106,7 @@
 	balancer        *place.Balancer
 	quotas          *quota.Set
 	retryBudget     *retry.Budget
+	turns           *turn.Schedule
 	pool            *conns.Pool
 	paths           *paths
 	metrics         *gate.Metrics
@@ -131,6 +133,7 @@
 		config: cf, roster: roster.New(), balancer: place.NewBalancer(), metrics: gate.NewMetrics(),
 		quotas:      quota.NewSet(grantShards, quota.Config{Instance: cf.Settings.Name, Incarnation: incarnation, FirstStart: cf.Settings.FirstStart}, now, cf.Stamp),
 		retryBudget: retry.New(retryConfig(cf.Settings), now),
+		turns:       turn.New(),
 	}
 	ed.grace.Store(int64(cf.Settings.Grace))
 	ed.stopped, ed.stopServing = context.WithCancel(context.Background())
--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -74,7 +74,7 @@
 	if !pr.gate.config.Beliefs.StoreReachable() {
 		retry = outageRetryAfter
 	}
-	return fault.New(fault.Unavailable, fault.NotRun, "this instance holds too few of the team's tokens").WithRetryAfter(retry)
+	return pr.recordShortage(fault.New(fault.Unavailable, fault.NotRun, "this instance holds too few of the team's tokens").WithRetryAfter(retry), true)
 }
 
 // borrow asks the other instances for tokens and reports whether it received any. It is called up to maxBorrowAttempts times for one
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -10,6 +10,7 @@
 
 	"github.com/clementineweir/clementineweir/pkg/fault"
 	"github.com/clementineweir/clementineweir/pkg/place"
+	"github.com/clementineweir/clementineweir/pkg/turn"
 )
 
 // logEntry holds the values of a request's log line.
@@ -43,6 +44,8 @@
 	quarantined bool
 	// urgency is the urgency that was stated to the endpoint, or zero.
 	urgency int
+	// slot tells the refused caller when to come back, if it is set.
+	slot turn.Slot
 }
 
 func (le *logEntry) recordDecision(de place.Decision) {
@@ -93,7 +96,7 @@
 		pr.writeLog("")
 		return
 	}
-	fa := fault.From(err, fault.MayHaveRun)
+	fa := pr.schedule(fault.From(err, fault.MayHaveRun))
 	responseStarted := pr.entry.firstEventAt > 0
 	if !responseStarted && fa.Kind() != fault.Canceled {
 		pr.writeError(fa)
@@ -158,9 +161,7 @@
 	if le.withheld > 0 || le.permitFrom != "" {
 		args = append(args, "withheld", le.withheld, "permitFrom", le.permitFrom)
 	}
-	if le.urgency > 0 {
-		args = append(args, "urgency", le.urgency)
-	}
+	args = append(args, le.loadFields(pr.returned)...)
 	if le.stopping {
 		args = append(args, "stopsIn", seconds(le.stopsIn))
 	}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -42,6 +42,7 @@
 // forward reserves tokens and sends the request to one endpoint after another until a response is relayed or no further attempt is allowed.
 func (pr *proxyRequest) forward() error {
 	pr.traits = pr.findTraits()
+	pr.content = pr.contentWithParts()
 	if err := pr.checkQuarantine(); err != nil {
 		return err
 	}
@@ -100,6 +101,8 @@
 	tried []string
 	// attempts counts the attempts that may have reached an endpoint.
 	attempts int
+	// noRoom reports whether the endpoint of the last attempt declined the request and stated no time for which it wants none.
+	noRoom bool
 	// unreachable counts the attempts that failed to connect.
 	unreachable int
 	// verdict is the highest verdict of the attempts so far. It says whether any attempt ran the request or may have run it.
@@ -174,7 +177,11 @@
 		if de.Withheld > 0 {
 			cf.Metrics.Counter("weir_rate_limited_refusals_total").Inc()
 		}
-		return de, fault.New(fault.Overloaded, fault.NotRun, de.Reason).WithRetryAfter(de.RetryAfter)
+		refusal := fault.New(fault.Overloaded, fault.NotRun, de.Reason).WithRetryAfter(de.RetryAfter)
+		if lacksCapacity(de) || fw.noRoom {
+			return de, pr.recordShortage(refusal, false)
+		}
+		return de, refusal
 	}
 	if fw.verdict < fault.MayHaveRun {
 		if err := pr.checkStop(); err != nil {
@@ -273,6 +280,7 @@
 	fw.endpoint = de.Endpoint
 	fw.sentAt = pr.now()
 	fw.sent.Store(true)
+	fw.noRoom = false
 	pr.entry.relayPeer = ""
 	if de.PermitFrom != "" {
 		cf.Metrics.Counter("weir_rate_limited_sends_total").Inc()
@@ -281,6 +289,7 @@
 	pr.entry.urgency = pr.urgency()
 	out, err := fw.exchange(de, at)
 	at.End(pr.now(), out)
+	pr.recordCompletion(out)
 	return err
 }
 
@@ -326,7 +335,11 @@
 		ex.RecordRefusal()
 		fw.recordRejection(de, at, ex.Response.StatusCode)
 		delay := cf.Board.TimeToWilling(pr.now(), cf.Roster.Usable(pr.service.Name))
-		return place.Declined, fault.New(fault.Refused, fault.NotRun, "the endpoint declined the request").WithRetryAfter(delay)
+		refusal := fault.New(fault.Refused, fault.NotRun, "the endpoint declined the request").WithRetryAfter(delay)
+		if fw.noRoom = ri.RefusalTime == 0 && ex.Response.StatusCode != http.StatusMisdirectedRequest; fw.noRoom {
+			return place.Declined, pr.recordShortage(refusal, false)
+		}
+		return place.Declined, refusal
 	}
 	fw.verdict = fault.MayHaveRun
 	if pr.route.Stream && ex.Response.StatusCode < 300 && ri.Genuine {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -21,6 +21,7 @@
 	"github.com/clementineweir/clementineweir/pkg/quota"
 	"github.com/clementineweir/clementineweir/pkg/retry"
 	"github.com/clementineweir/clementineweir/pkg/roster"
+	"github.com/clementineweir/clementineweir/pkg/turn"
 )
 
 const (
@@ -105,6 +106,8 @@
 	Purses *quota.Set
 	// Allowance is the retry budget, which limits the retries of all requests together.
 	Allowance *retry.Budget
+	// Turns is the schedule of refused callers.
+	Turns *turn.Schedule
 	// Pool holds the connections to endpoints.
 	Pool *conns.Pool
 	// Quarantine blocks requests that crash endpoints.
@@ -168,7 +171,12 @@
 	limited bool
 	// rank is the urgency of the request among those of its service; 0 is the most urgent.
 	rank int
-	body []byte
+	// content identifies the request when it comes back after a refusal, and returned reports whether it does so now, at the time that its caller was told.
+	content  uint64
+	returned bool
+	// shortage is the last refusal for lack of capacity or tokens.
+	shortage shortage
+	body     []byte
 	// memory is the account of the bodies that the request buffers.
 	memory *space.Account
 	// traits are the properties by which the quarantine recognizes requests that crash endpoints.
