Gate, edge: recognize callers that come back when they were told

A refused caller has one retry, and was refused again as if it had just arrived. Its retry reaches another instance with another request ID.

Refused requests with a free slot are recognized by a hash of method, target, key, body and the parts of the prompt. A caller that comes back when it was told is not refused for the limits on queue time. One that comes back early is treated as a new one. Delays are at most 0.3 of the time left, since callers honor a third of what they have when the refusal arrives.

Tests of pkg/turn, pkg/place, internal/gate and internal/mesh pass; of internal/edge those named Herd, Fleet and Peer.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -107,6 +107,7 @@
 	quotas          *quota.Set
 	retryBudget     *retry.Budget
 	turns           *turn.Schedule
+	returns         *returns
 	pool            *conns.Pool
 	paths           *paths
 	metrics         *gate.Metrics
@@ -162,6 +163,7 @@
 	ed.transfers = &transfers{edge: ed, shortfallAt: map[string]time.Duration{}}
 	ed.permits = newPermits(ed)
 	ed.origins = newOrigins(ed)
+	ed.returns = newReturns(ed)
 	ed.configWatcher = newConfigWatcher(ed)
 	ed.endpointWatcher = newEndpointWatcher(ed)
 	for ix, sh := range ed.quotas.Shards() {
@@ -218,6 +220,10 @@
 		ed.origins.applyNotice(nt.Origins)
 		return
 	}
+	if len(nt.Returns) > 0 {
+		ed.returns.applyNotice(nt.Returns)
+		return
+	}
 	if nt.Rejected != "" {
 		ed.balancer.RecordPeerRejection(ed.config.Clock(), nt.Rejected)
 		return
@@ -295,7 +301,7 @@
 	var group run.Group
 	loops := []func(context.Context) error{
 		ed.configWatcher.run, ed.endpointWatcher.run, ed.servers.run, ed.servers.runReadiness, ed.servers.runPeers, ed.runSweep, ed.runReload,
-		ed.notifier.RunSend, ed.notifier.RunReceive, ed.permits.run, ed.paths.run, ed.origins.log.run,
+		ed.notifier.RunSend, ed.notifier.RunReceive, ed.permits.run, ed.paths.run, ed.origins.log.run, ed.returns.run,
 	}
 	for _, gs := range ed.grantSyncs {
 		loops = append(loops, gs.run)
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -97,6 +97,7 @@
 		return
 	}
 	fa := pr.schedule(fault.From(err, fault.MayHaveRun))
+	pr.countReturn(fa)
 	responseStarted := pr.entry.firstEventAt > 0
 	if !responseStarted && fa.Kind() != fault.Canceled {
 		pr.writeError(fa)
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -42,7 +42,7 @@
 // forward reserves tokens and sends the request to one endpoint after another until a response is relayed or no further attempt is allowed.
 func (pr *proxyRequest) forward() error {
 	pr.traits = pr.findTraits()
-	pr.content = pr.contentWithParts()
+	pr.recognize()
 	if err := pr.checkQuarantine(); err != nil {
 		return err
 	}
@@ -204,7 +204,7 @@
 func (pr *proxyRequest) placement(tried []string) place.Request {
 	return place.Request{
 		Prompt: pr.info.Prompt, Output: pr.info.Output, Parts: pr.info.Parts, Domain: pr.gate.config.Domain, Tried: tried,
-		Rank: pr.route.Priority, TimeLeft: pr.firstEventLimit(), Team: pr.team,
+		Rank: pr.route.Priority, TimeLeft: pr.firstEventLimit(), Team: pr.team, Resumed: pr.returned,
 	}
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -90,6 +90,8 @@
 	NotifyLeaving(process string)
 	// NotifyRateLimit announces what a response said about the rate limit of a process of an endpoint, and never blocks.
 	NotifyRateLimit(process string, st limit.Statement)
+	// NotifyReturn announces that a refused caller was told to come back after the delay with the request of this content, and never blocks.
+	NotifyReturn(content uint64, delay time.Duration)
 }
 
 // Config holds the dependencies of a gate.
--- a/internal/gate/origin.go
+++ b/internal/gate/origin.go
@@ -77,7 +77,7 @@
 		list = cf.Builds.Usable(pr.service.Name, list)
 	}
 	rq := pr.placement(tried)
-	rq.Resumed = build != nil
+	rq.Resumed = rq.Resumed || build != nil
 	de := cf.Board.Pick(pr.now(), pr.service, list, rq)
 	switch {
 	case build != nil && len(list) == 0:
--- a/internal/gate/returns.go
+++ b/internal/gate/returns.go
@@ -36,10 +36,28 @@
 	pr.entry.slot = sl
 	if sl.Reserved {
 		cf.Metrics.Counter("weir_refusals_scheduled_total").Inc()
+		cf.Notifier.NotifyReturn(pr.content, sl.Delay)
 	}
 	return fa.WithRetryAfter(sl.Delay)
 }
 
+// recognize finds out whether the request is that of a caller that was refused, here or at another instance, and told to come back now. Such a request is not
+// refused to leave capacity for others.
+func (pr *proxyRequest) recognize() {
+	pr.content = pr.contentWithParts()
+	pr.returned = pr.gate.config.Turns.Arrive(pr.now(), pr.content)
+	if pr.returned {
+		pr.gate.config.Metrics.Counter("weir_returned_requests_total").Inc()
+	}
+}
+
+// countReturn counts the request if its caller has come back when it was told and is refused again.
+func (pr *proxyRequest) countReturn(fa *fault.Error) {
+	if pr.returned && fa.Verdict() == fault.NotRun && fa.Kind() != fault.Canceled {
+		pr.gate.config.Metrics.Counter("weir_returned_refused_total").Inc()
+	}
+}
+
 // recordCompletion records that an endpoint has finished an attempt, so that its capacity came free.
 func (pr *proxyRequest) recordCompletion(out place.Outcome) {
 	switch out {
--- a/internal/mesh/notifier.go
+++ b/internal/mesh/notifier.go
@@ -46,6 +46,16 @@
 	// Leaving is set instead of the other fields, to the name of a process of an endpoint that has said that it leaves; builds that do not know it
 	// discard the notice.
 	Leaving string `cbor:"9,keyasint,omitempty"`
+	// Returns is set instead of the other fields if the notice is of refused callers that will come back; builds that do not know it discard the notice.
+	Returns []ReturnNotice `cbor:"10,keyasint,omitempty"`
+}
+
+// ReturnNotice tells the others that an instance has refused a request, and when its caller comes back with it.
+type ReturnNotice struct {
+	// Content identifies the request.
+	Content uint64 `cbor:"1,keyasint"`
+	// DelayMs is the time until then in milliseconds, from the time when the notice is sent.
+	DelayMs int64 `cbor:"2,keyasint"`
 }
 
 // ConfigurationNotice tells the others that an instance has a higher version of the configuration than the store.
--- a/pkg/place/request.go
+++ b/pkg/place/request.go
@@ -30,8 +30,8 @@
 	Tried []string
 	// Rank is the urgency; 0 is the most urgent. Under overload, requests of higher rank are refused first.
 	Rank int
-	// Resumed reports whether the request resumes a stream. Its caller has a part of the response already, and it can go on at few endpoints, so it
-	// is not refused to leave capacity for others.
+	// Resumed reports whether the request resumes a stream, or comes back after a refusal when it was told. A caller that resumes has a part of the
+	// response already, and it can go on at few endpoints; one that comes back does so once. Neither is refused to leave capacity for others.
 	Resumed bool
 	// TimeLeft is the time until the deadline for the first event (for a plain service: for the complete response). If it is zero or less, the
 	// request is not refused because of expected times.
--- a/pkg/turn/schedule.go
+++ b/pkg/turn/schedule.go
@@ -10,8 +10,9 @@
 const (
 	// minDelay is the minimum delay. A caller that comes back sooner finds the same requests in flight.
 	minDelay = 200 * time.Millisecond
-	// honoredShare gives the maximum delay: a caller ignores delays longer than its time left divided by honoredShare.
-	honoredShare = 3
+	// honoredShare gives the maximum delay: honoredShare * the time that the caller has left. Callers honor up to a third of what they have left when they
+	// receive the refusal; the difference is a margin for its way.
+	honoredShare = 0.3
 	// returnShare is the part of the capacity that comes free which is given to returning callers. The rest is for new arrivals: without it they would all be
 	// refused once, and each would take twice as long.
 	returnShare = 0.5
@@ -93,7 +94,7 @@
 func (sc *Schedule) Refuse(now time.Duration, ca Caller) Slot {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	longest := max(0, ca.TimeLeft/honoredShare)
+	longest := time.Duration(honoredShare * float64(max(0, ca.TimeLeft)))
 	soonest := min(longest, max(minDelay, ca.Soonest))
 	late := max(soonest, longest-time.Duration(lateSpread*fraction(ca.Content)*float64(longest)))
 	if ca.Returned {
--- a/pkg/turn/schedule_test.go
+++ b/pkg/turn/schedule_test.go
@@ -32,7 +32,7 @@
 			sc := New()
 			complete(sc, 0, warmTime)
 			returns := map[time.Duration]int{}
-			longest := left / honoredShare
+			longest := time.Duration(honoredShare * float64(left))
 			reserved := 0
 			for content := range uint64(400) {
 				sl := sc.Refuse(warmTime, Caller{Service: testService, Team: fmt.Sprint(content % 7), Content: content, TimeLeft: left})
