Gate, turn: requests wait shortly for room at an endpoint

The routed interface either forwarded a request or refused it, also if an endpoint had room some milliseconds later.

A new request refused for busy endpoints waits at most a quarter of its latency target, ordered by rank, callers that have come back, turns among teams, and deadline. It is refused at once if the completions of this instance or the expected times show that the wait cannot help. Log field queued, metrics weir_queued_requests_total and weir_queued_refused_total.

Tests of pkg/turn and internal/gate pass, also with -race.

--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -46,6 +46,8 @@
 	urgency int
 	// slot tells the refused caller when to come back, if it is set.
 	slot turn.Slot
+	// queued is the time for which the request waited for room at an endpoint.
+	queued time.Duration
 }
 
 func (le *logEntry) recordDecision(de place.Decision) {
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -170,8 +170,7 @@
 		}
 		cf.Board.Release(*de)
 	}
-	now := pr.now()
-	de := fw.pick(fw.tried)
+	de := fw.awaitRoom(fw.pick(fw.tried))
 	pr.entry.recordDecision(de)
 	if de.Endpoint == nil {
 		if de.Withheld > 0 {
@@ -190,10 +189,10 @@
 		}
 	}
 	if fw.attempts == 0 {
-		cf.Allowance.RecordRequest(now, pr.service.Name)
+		cf.Allowance.RecordRequest(pr.now(), pr.service.Name)
 		return de, nil
 	}
-	if !cf.Allowance.AllowRetry(now, pr.service.Name) {
+	if !cf.Allowance.AllowRetry(pr.now(), pr.service.Name) {
 		cf.Board.Release(de)
 		return de, fault.New(fault.Overloaded, fault.NotRun, "the allowance for sending again is used up").WithRetryAfter(insufficientRetryAfter)
 	}
--- a/internal/gate/response.go
+++ b/internal/gate/response.go
@@ -143,8 +143,7 @@
 			continue
 		}
 		received++
-		at.RecordFirstEvent(pr.now())
-		at.RecordActivity(pr.now())
+		pr.recordEvent(at, received)
 		watch.reset(fw.eventTimeout())
 		id, ok := events.ID(data)
 		if resumed && (!ok || id != fw.lastEventID+1) {
--- a/internal/gate/returns.go
+++ b/internal/gate/returns.go
@@ -63,6 +63,7 @@
 	switch out {
 	case place.Answered, place.Failed, place.Canceled:
 		pr.gate.config.Turns.Complete(pr.now(), pr.service.Name, pr.team)
+		pr.gate.config.Turns.MakeRoom(pr.service.Name)
 	case place.Declined, place.Incomplete, place.Unreachable:
 	}
 }
@@ -86,6 +87,9 @@
 	if le.slot.Delay > 0 {
 		args = append(args, "slot", seconds(le.slot.Delay), "reserved", le.slot.Reserved)
 	}
+	if le.queued > 0 {
+		args = append(args, "queued", seconds(le.queued))
+	}
 	if returned {
 		args = append(args, "returned", true)
 	}
--- a/internal/gate/returns_test.go
+++ b/internal/gate/returns_test.go
@@ -70,3 +70,29 @@
 		tt.Errorf("the caller is told to come back after %s, want at most a third of 6 s", delay)
 	}
 }
+
+// TestWaitThatCannotHelp guards against requests that are held although no endpoint can take them within the wait: their callers could have tried elsewhere.
+func TestWaitThatCannotHelp(tt *testing.T) {
+	const wait = 100 * time.Millisecond
+	cases := []struct {
+		name   string
+		expect place.Decision
+		rq     place.Request
+		want   bool
+	}{
+		{"queue just above the limit", place.Decision{TimeToFirstEvent: 600 * time.Millisecond, QueueTime: 550 * time.Millisecond}, place.Request{Prompt: 1}, true},
+		{"queue far above the limit", place.Decision{TimeToFirstEvent: 700 * time.Millisecond, QueueTime: 650 * time.Millisecond}, place.Request{Prompt: 1}, false},
+		{"queue above the limit of the rank", place.Decision{TimeToFirstEvent: 600 * time.Millisecond, QueueTime: 450 * time.Millisecond}, place.Request{Prompt: 1, Rank: 2}, false},
+		{"returned", place.Decision{TimeToFirstEvent: 1900 * time.Millisecond, QueueTime: 650 * time.Millisecond}, place.Request{Prompt: 1, Resumed: true}, true},
+		{"plain, late", place.Decision{TimeToFirstEvent: 1900 * time.Millisecond}, place.Request{}, true},
+		{"plain, after the deadline", place.Decision{TimeToFirstEvent: 2 * time.Second}, place.Request{}, false},
+	}
+	for _, tc := range cases {
+		tt.Run(tc.name, func(tt *testing.T) {
+			tc.rq.TimeLeft = 2 * time.Second
+			if got := mayHelp(tc.expect, tc.rq, wait); got != tc.want {
+				tt.Errorf("mayHelp returned %t, want %t", got, tc.want)
+			}
+		})
+	}
+}
--- a/pkg/turn/lane.go
+++ b/pkg/turn/lane.go
@@ -26,6 +26,8 @@
 	claims map[string]*claim
 	// refusedAt is the time of the last refusal, or of the creation of the lane.
 	refusedAt time.Duration
+	// line holds the requests that wait here instead of coming back; it is used in lanes without a team.
+	line line
 }
 
 // claim is a team's part of a lane.
@@ -36,7 +38,7 @@
 }
 
 func newLane(now time.Duration) *lane {
-	return &lane{completions: counter{since: now}, claims: map[string]*claim{}, refusedAt: now}
+	return &lane{completions: counter{since: now}, claims: map[string]*claim{}, refusedAt: now, line: newLine()}
 }
 
 // reserve takes one request's worth of capacity from the first slot with room on, and returns the time at which the caller comes back. It returns false if no
