Turn: spread returns whose useful delay is longer than callers honor

All callers whose useful delay exceeded the longest one that they honor were told exactly that one, and came back together. The useful delay now counts up to three quarters of the longest.

TestHerdThatShouldReturnLater fails without the change; the tests of pkg/turn, internal/gate and internal/mesh pass.

--- a/pkg/turn/schedule.go
+++ b/pkg/turn/schedule.go
@@ -18,7 +18,7 @@
 	returnShare = 0.5
 	// overShare is the part of a slot that a team with more than its fair share of the schedule may fill, so that callers of other teams find room.
 	overShare = 0.5
-	// lateSpread is the part of the maximum delay over which the callers are spread that find no free slot.
+	// lateSpread is the part of the maximum delay over which the callers are spread that find no free slot or should come back later than they would.
 	lateSpread = 0.25
 	// maxRepeats bounds the slots for requests of the same content. Some requests of different callers are equal; more of them are taken for repetitions by
 	// one caller, which must not push others out of the schedule.
@@ -45,7 +45,7 @@
 	Rank int
 	// TimeLeft is the time that the caller has left.
 	TimeLeft time.Duration
-	// Soonest is the delay before which a return is useless.
+	// Soonest is the delay before which a return is probably useless.
 	Soonest time.Duration
 	// Returned reports whether the caller has come back already. Callers come back once, so that it gets no slot.
 	Returned bool
@@ -95,8 +95,9 @@
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	longest := time.Duration(honoredShare * float64(max(0, ca.TimeLeft)))
-	soonest := min(longest, max(minDelay, ca.Soonest))
-	late := max(soonest, longest-time.Duration(lateSpread*fraction(ca.Content)*float64(longest)))
+	spread := time.Duration(lateSpread * float64(longest))
+	soonest := max(min(minDelay, longest), min(ca.Soonest, longest-spread))
+	late := max(soonest, longest-time.Duration(fraction(ca.Content)*float64(spread)))
 	if ca.Returned {
 		return Slot{Delay: late}
 	}
--- a/pkg/turn/schedule_test.go
+++ b/pkg/turn/schedule_test.go
@@ -57,6 +57,23 @@
 	}
 }
 
+// TestHerdThatShouldReturnLater guards against callers that are all told the maximum delay since it is shorter than the useful one.
+func TestHerdThatShouldReturnLater(tt *testing.T) {
+	const callers = 400
+	sc := New()
+	complete(sc, 0, warmTime)
+	delays := map[time.Duration]int{}
+	for content := range uint64(callers) {
+		sl := sc.Refuse(warmTime, Caller{Service: testService, Team: "team", Tokens: true, Content: content, TimeLeft: 2500 * time.Millisecond, Soonest: 3 * time.Second})
+		delays[sl.Delay/(25*time.Millisecond)]++
+	}
+	for at, count := range delays {
+		if count > callers/4 {
+			tt.Errorf("%d of %d callers come back within 25 ms from %s on", count, callers, at*25*time.Millisecond)
+		}
+	}
+}
+
 // TestCallersThatRepeatAtOnce guards against a caller that ignores its delay: it must gain no precedence by it, and take no slots of others.
 func TestCallersThatRepeatAtOnce(tt *testing.T) {
 	served := func(repeats int) (others, early int) {
