--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -10,6 +10,7 @@
 
 	"github.com/clementineweir/clementineweir/pkg/fault"
 	"github.com/clementineweir/clementineweir/pkg/place"
+	"github.com/clementineweir/clementineweir/pkg/turn"
 )
 
 // logEntry holds the values of a request's log line.
@@ -41,6 +42,12 @@
 	stopping bool
 	// quarantined reports whether the request was refused because it is expected to crash endpoints.
 	quarantined bool
+	// urgency is the urgency that was stated to the endpoint, or zero.
+	urgency int
+	// slot tells the refused caller when to come back, if it is set.
+	slot turn.Slot
+	// queued is the time for which the request waited for room at an endpoint.
+	queued time.Duration
 }
 
 func (le *logEntry) recordDecision(de place.Decision) {
@@ -91,7 +98,8 @@
 		pr.writeLog("")
 		return
 	}
-	fa := fault.From(err, fault.MayHaveRun)
+	fa := pr.schedule(fault.From(err, fault.MayHaveRun))
+	pr.countReturn(fa)
 	responseStarted := pr.entry.firstEventAt > 0
 	if !responseStarted && fa.Kind() != fault.Canceled {
 		pr.writeError(fa)
@@ -156,6 +164,7 @@
 	if le.withheld > 0 || le.permitFrom != "" {
 		args = append(args, "withheld", le.withheld, "permitFrom", le.permitFrom)
 	}
+	args = append(args, le.loadFields(pr.returned)...)
 	if le.stopping {
 		args = append(args, "stopsIn", seconds(le.stopsIn))
 	}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -42,6 +42,7 @@
 // forward reserves tokens and sends the request to one endpoint after another until a response is relayed or no further attempt is allowed.
 func (pr *proxyRequest) forward() error {
 	pr.traits = pr.findTraits()
+	pr.recognize()
 	if err := pr.checkQuarantine(); err != nil {
 		return err
 	}
@@ -100,6 +101,8 @@
 	tried []string
 	// attempts counts the attempts that may have reached an endpoint.
 	attempts int
+	// noRoom reports whether the endpoint of the last attempt declined the request and stated no time for which it wants none.
+	noRoom bool
 	// unreachable counts the attempts that failed to connect.
 	unreachable int
 	// verdict is the highest verdict of the attempts so far. It says whether any attempt ran the request or may have run it.
@@ -167,14 +170,17 @@
 		}
 		cf.Board.Release(*de)
 	}
-	now := pr.now()
-	de := fw.pick(fw.tried)
+	de := fw.awaitRoom(fw.pick(fw.tried))
 	pr.entry.recordDecision(de)
 	if de.Endpoint == nil {
 		if de.Withheld > 0 {
 			cf.Metrics.Counter("weir_rate_limited_refusals_total").Inc()
 		}
-		return de, fault.New(fault.Overloaded, fault.NotRun, de.Reason).WithRetryAfter(de.RetryAfter)
+		refusal := fault.New(fault.Overloaded, fault.NotRun, de.Reason).WithRetryAfter(de.RetryAfter)
+		if lacksCapacity(de) || fw.noRoom {
+			return de, pr.recordShortage(refusal, false)
+		}
+		return de, refusal
 	}
 	if fw.verdict < fault.MayHaveRun {
 		if err := pr.checkStop(); err != nil {
@@ -183,10 +189,10 @@
 		}
 	}
 	if fw.attempts == 0 {
-		cf.Allowance.RecordRequest(now, pr.service.Name)
+		cf.Allowance.RecordRequest(pr.now(), pr.service.Name)
 		return de, nil
 	}
-	if !cf.Allowance.AllowRetry(now, pr.service.Name) {
+	if !cf.Allowance.AllowRetry(pr.now(), pr.service.Name) {
 		cf.Board.Release(de)
 		return de, fault.New(fault.Overloaded, fault.NotRun, "the allowance for sending again is used up").WithRetryAfter(insufficientRetryAfter)
 	}
@@ -197,7 +203,7 @@
 func (pr *proxyRequest) placement(tried []string) place.Request {
 	return place.Request{
 		Prompt: pr.info.Prompt, Output: pr.info.Output, Parts: pr.info.Parts, Domain: pr.gate.config.Domain, Tried: tried,
-		Rank: pr.route.Priority, TimeLeft: pr.firstEventLimit(), Team: pr.team,
+		Rank: pr.route.Priority, TimeLeft: pr.firstEventLimit(), Team: pr.team, Resumed: pr.returned,
 	}
 }
 
@@ -273,13 +279,16 @@
 	fw.endpoint = de.Endpoint
 	fw.sentAt = pr.now()
 	fw.sent.Store(true)
+	fw.noRoom = false
 	pr.entry.relayPeer = ""
 	if de.PermitFrom != "" {
 		cf.Metrics.Counter("weir_rate_limited_sends_total").Inc()
 	}
 	pr.entry.recordAttempt(de)
+	pr.entry.urgency = pr.urgency()
 	out, err := fw.exchange(de, at)
 	at.End(pr.now(), out)
+	pr.recordCompletion(out)
 	return err
 }
 
@@ -298,7 +307,7 @@
 	ex, err := cf.Pool.Do(ctx, de.Endpoint.Address, conns.Request{
 		ID: pr.info.ID, Endpoint: de.Endpoint.ID, Method: pr.httpRequest.Method, Target: pr.httpRequest.RequestURI, Host: pr.httpRequest.Host, Body: pr.body,
 		Header: cf.Protocol.EndpointHeaders(pr.httpRequest.Header, ForwardInfo{
-			Endpoint: de.Endpoint.ID, Team: pr.team, Left: pr.timeLeft(), LastEvent: fw.lastEventID, CopyFrom: de.CopyAddress(),
+			Endpoint: de.Endpoint.ID, Team: pr.team, Left: pr.timeLeft(), LastEvent: fw.lastEventID, CopyFrom: de.CopyAddress(), Urgency: pr.entry.urgency,
 		}),
 		Matches: pr.matches,
 	})
@@ -325,7 +334,11 @@
 		ex.RecordRefusal()
 		fw.recordRejection(de, at, ex.Response.StatusCode)
 		delay := cf.Board.TimeToWilling(pr.now(), cf.Roster.Usable(pr.service.Name))
-		return place.Declined, fault.New(fault.Refused, fault.NotRun, "the endpoint declined the request").WithRetryAfter(delay)
+		refusal := fault.New(fault.Refused, fault.NotRun, "the endpoint declined the request").WithRetryAfter(delay)
+		if fw.noRoom = ri.RefusalTime == 0 && ex.Response.StatusCode != http.StatusMisdirectedRequest; fw.noRoom {
+			return place.Declined, pr.recordShortage(refusal, false)
+		}
+		return place.Declined, refusal
 	}
 	fw.verdict = fault.MayHaveRun
 	if pr.route.Stream && ex.Response.StatusCode < 300 && ri.Genuine {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -21,6 +21,7 @@
 	"github.com/clementineweir/clementineweir/pkg/quota"
 	"github.com/clementineweir/clementineweir/pkg/retry"
 	"github.com/clementineweir/clementineweir/pkg/roster"
+	"github.com/clementineweir/clementineweir/pkg/turn"
 )
 
 const (
@@ -89,6 +90,8 @@
 	NotifyLeaving(process string)
 	// NotifyRateLimit announces what a response said about the rate limit of a process of an endpoint, and never blocks.
 	NotifyRateLimit(process string, st limit.Statement)
+	// NotifyReturn announces that a refused caller was told to come back after the delay with the request of this content, and never blocks.
+	NotifyReturn(content uint64, delay time.Duration)
 }
 
 // Config holds the dependencies of a gate.
@@ -105,6 +108,8 @@
 	Purses *quota.Set
 	// Allowance is the retry budget, which limits the retries of all requests together.
 	Allowance *retry.Budget
+	// Turns is the schedule of refused callers.
+	Turns *turn.Schedule
 	// Pool holds the connections to endpoints.
 	Pool *conns.Pool
 	// Quarantine blocks requests that crash endpoints.
@@ -166,7 +171,14 @@
 	team        string
 	// limited reports whether the team has a limited prepaid total.
 	limited bool
-	body    []byte
+	// rank is the urgency of the request among those of its service; 0 is the most urgent.
+	rank int
+	// content identifies the request when it comes back after a refusal, and returned reports whether it does so now, at the time that its caller was told.
+	content  uint64
+	returned bool
+	// shortage is the last refusal for lack of capacity or tokens.
+	shortage shortage
+	body     []byte
 	// memory is the account of the bodies that the request buffers.
 	memory *space.Account
 	// traits are the properties by which the quarantine recognizes requests that crash endpoints.
@@ -244,6 +256,7 @@
 }
 
 func (pr *proxyRequest) findTeam() error {
+	pr.rank = pr.route.Rank(nil)
 	if pr.route.Anonymous {
 		return nil
 	}
@@ -253,6 +266,7 @@
 	}
 	pr.team = te.Name
 	pr.limited = te.Limited
+	pr.rank = pr.route.Rank(te)
 	return nil
 }
 
