Verify: check a configuration of routed services before it is sent

Cause: a mistake in a configuration showed only by failing requests: routes that never match, services that do not exist, a key of two teams, a version that instances ignore, limits that contradict each other.

--- a/internal/cmds/main.go
+++ b/internal/cmds/main.go
@@ -67,7 +67,7 @@
 		// Main returns the exit code, so the handler must not exit the process.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			serveCommand(), edgeCommand(), devCommand(), labCommand(), emulateCommand(), ticketCommand(), statusCommand(), configCommand(),
+			serveCommand(), edgeCommand(), devCommand(), labCommand(), emulateCommand(), ticketCommand(), statusCommand(), configCommand(), verifyCommand(),
 			{
 				Name: "version", Usage: "print the version",
 				Action: func(_ context.Context, cm *cli.Command) error {
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -65,6 +65,9 @@
 // Version returns the version of the configuration.
 func (pl *Plan) Version() int64 { return pl.config.Version }
 
+// Config returns the content of the configuration; it must not be changed.
+func (pl *Plan) Config() Config { return pl.config }
+
 // Limits returns the limits on callers.
 func (pl *Plan) Limits() Limits { return pl.config.Limits }
 
