--- a/internal/cmds/verify_test.go
+++ b/internal/cmds/verify_test.go
@@ -33,7 +33,9 @@
 		{"correct", "", "", nil, ExitOK, []string{"has no errors"}},
 		{"not newer than the one in force", "", "", []string{"--store", address}, ExitInvalid, []string{"error: version: the instances ignore the configuration"}},
 		{
-			"changed", `"prepaid":10000000`, `"prepaid":9000000`, []string{"--store", address}, ExitInvalid,
+			"changed", `"prepaid":10000000`, `"prepaid":9000000`,
+			[]string{"--store", address},
+			ExitInvalid,
 			[]string{"warning: team team-1: the prepaid total falls", "change: team team-1: prepaid: 10000000 -> 9000000"},
 		},
 		{"unknown type", `"route_type":"unsafe"`, `"route_type":"odd"`, nil, ExitInvalid, []string{"error: route payment: the route is left out"}},
