Edge: an overloaded instance refuses the excess of new requests

Cause: an instance with a small share of a core gets several times what it can serve; its callers wait until their deadlines although a retry would reach another instance. Change: a probe measures how late this process runs and how much processor time it uses; the gate asks the shedder before it reads the body and reserves tokens, and refuses with 503 (not run) and a Retry-After of 0.05 to 0.2 s. The settings instance.cpuCores and instance.linkMegabits state the limits; without them nothing is refused for them.

--- a/internal/config/edge.go
+++ b/internal/config/edge.go
@@ -27,6 +27,10 @@
 	RetryWindow time.Duration
 	// MemoryMegabytes is the memory that the process may use.
 	MemoryMegabytes int64
+	// CPUCores is the processor time that the process may use, in cores; zero means that it is not known.
+	CPUCores float64
+	// LinkMegabits is the rate of the machine's link in megabits a second; zero means that it is not known.
+	LinkMegabits float64
 }
 
 // edgeSettingsTable lists all settings of an instance that runs with the command edge; see Edge.
@@ -39,6 +43,8 @@
 	{"instance", "grace", duration, "8s", false, minDuration, "Time between SIGTERM and the end of the process.", func(se *Settings) any { return &se.Edge.Grace }},
 	{"instance", "firstStart", flag, "false", false, 0, "Whether the whole fleet starts for the first time, so that there is nothing in the store to wait for.", func(se *Settings) any { return &se.Edge.FirstStart }},
 	{"instance", "memoryMegabytes", number, "256", false, 32, "Memory that the process may use, in megabytes.", func(se *Settings) any { return &se.Edge.MemoryMegabytes }},
+	{"instance", "cpuCores", decimal, "0", false, 0, "Processor time that the process may use, in cores; with 0, requests are not refused because it is used up.", func(se *Settings) any { return &se.Edge.CPUCores }},
+	{"instance", "linkMegabits", decimal, "0", false, 0, "Rate of the machine's link in megabits a second; with 0, requests are not refused because it is full.", func(se *Settings) any { return &se.Edge.LinkMegabits }},
 	{"store", "address", listenAddress, "", true, 0, "IP and port of the platform's metadata store.", func(se *Settings) any { return &se.Edge.StoreAddress }},
 	{"retry", "ratio", decimal, "0.2", false, 0, "Largest ratio of retries to requests of a service, over the whole fleet.", func(se *Settings) any { return &se.Edge.RetryRatio }},
 	{"retry", "headroom", number, "50", false, 0, "Retries of a service that are allowed in a window beyond the ratio, over the whole fleet.", func(se *Settings) any { return &se.Edge.RetryHeadroom }},
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -120,7 +120,8 @@
 	servers         *servers
 	notifier        *mesh.Notifier
 	// space bounds the memory of buffered bodies.
-	space *space.Space
+	space    *space.Space
+	overload *overload
 }
 
 // New returns an instance; Run starts it.
@@ -164,6 +165,7 @@
 	for ix, sh := range ed.quotas.Shards() {
 		ed.grantSyncs = append(ed.grantSyncs, newGrantSync(ed, sh, ix))
 	}
+	ed.overload = newOverload(ed)
 	ed.servers = newServers(ed)
 	return ed
 }
@@ -293,6 +295,7 @@
 	loops := []func(context.Context) error{
 		ed.configWatcher.run, ed.endpointWatcher.run, ed.servers.run, ed.servers.runReadiness, ed.servers.runPeers, ed.runSweep, ed.runReload,
 		ed.notifier.RunSend, ed.notifier.RunReceive, ed.permits.run, ed.paths.run, ed.origins.log.run,
+		ed.overload.run,
 	}
 	for _, gs := range ed.grantSyncs {
 		loops = append(loops, gs.run)
@@ -323,6 +326,8 @@
 	ed.metrics.Gauge("weir_log_lines_dropped", func() float64 { return float64(ed.config.Dropped()) })
 	ed.metrics.Gauge("weir_body_memory_bytes", func() float64 { return float64(ed.space.Used()) })
 	ed.metrics.Gauge("weir_requests_in_flight", func() float64 { return float64(ed.servers.active.Load()) })
+	ed.metrics.Gauge("weir_instance_lag_seconds", func() float64 { return ed.overload.shedder.Lag(ed.config.Clock()).Seconds() })
+	ed.metrics.Gauge("weir_shed_level", func() float64 { return ed.overload.shedder.State(ed.config.Clock()).Level })
 	ed.metrics.Gauge("weir_link_to_endpoints_cut", func() float64 {
 		if ed.paths.LinkCut() {
 			return 1
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -68,7 +68,7 @@
 	}), ed.metrics.Counter("weir_connections_relayed_total").Inc, ed.metrics.Counter("weir_relays_refused_total").Inc)
 	return &servers{edge: ed, relays: relays, handler: gate.New(gate.Config{
 		Protocol: ed.config.Platform.Protocol, Beliefs: ed, Roster: ed.roster, Board: ed.balancer, Purses: ed.quotas,
-		Allowance: ed.retryBudget, Pool: ed.pool, Quarantine: ed.quarantine, Origins: ed.origins, Builds: ed.origins.builds, Lender: ed.transfers, Notifier: ed, Link: ed.paths, Space: ed.space, Metrics: ed.metrics,
+		Allowance: ed.retryBudget, Pool: ed.pool, Quarantine: ed.quarantine, Origins: ed.origins, Builds: ed.origins.builds, Lender: ed.transfers, Notifier: ed, Link: ed.paths, Space: ed.space, Shedder: ed.overload.shedder, Metrics: ed.metrics,
 		Clock: ed.config.Clock, Domain: ed.config.Settings.Domain, Logger: ed.config.Logger,
 	})}
 }
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"github.com/clementineweir/clementineweir/pkg/fault"
 	"github.com/clementineweir/clementineweir/pkg/place"
+	"github.com/clementineweir/clementineweir/pkg/shed"
 )
 
 // logEntry holds the values of a request's log line.
@@ -41,6 +43,8 @@
 	stopping bool
 	// quarantined reports whether the request was refused because it is expected to crash endpoints.
 	quarantined bool
+	// shed is the decision of the shedder if it refused the request.
+	shed shed.Verdict
 }
 
 func (le *logEntry) recordDecision(de place.Decision) {
@@ -176,6 +180,9 @@
 		if pr.entry.quarantined {
 			args = append(args, "content", fmt.Sprintf("%016x", pr.traits.Content), "parts", partNames(pr.info.Parts))
 		}
+		if le.shed.Reason != "" {
+			args = append(args, "shedFor", le.shed.Reason, "lag", seconds(le.shed.Lag), "level", math.Round(le.shed.Level*1000)/1000)
+		}
 		args = append(args, pr.balanceFields()...)
 	}
 	pr.gate.config.Logger.Info("request", append(args, more...)...)
@@ -183,7 +190,7 @@
 
 // balanceFields returns the team's balance as fields of the log message if a limited request failed before it was sent to an endpoint.
 func (pr *proxyRequest) balanceFields() []any {
-	if !pr.limited || !pr.info.Sized || pr.entry.status < http.StatusBadRequest || len(pr.entry.endpoints) > 0 {
+	if !pr.limited || !pr.info.Sized || pr.entry.shed.Reason != "" || pr.entry.status < http.StatusBadRequest || len(pr.entry.endpoints) > 0 {
 		return nil
 	}
 	ba := pr.gate.config.Purses.Shard(pr.team).Balance(pr.now(), pr.team)
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -247,7 +247,7 @@
 		return fault.Wrap(err, fault.Upstream, fault.Ran, "the stream broke off")
 	}
 	if fw.fallback != nil {
-		return fw.fallback.write(pr.writer)
+		return fw.fallback.write(pr)
 	}
 	fa := fault.From(err, fault.MayHaveRun)
 	if pr.gate.config.Beliefs.Stopped().Err() != nil {
@@ -295,6 +295,7 @@
 		watch = fw.watchStall(ctx, timeout, cancel)
 		defer watch.stop()
 	}
+	cf.Shedder.RecordWrite(pr.now(), len(pr.body), 0)
 	ex, err := cf.Pool.Do(ctx, de.Endpoint.Address, conns.Request{
 		ID: pr.info.ID, Endpoint: de.Endpoint.ID, Method: pr.httpRequest.Method, Target: pr.httpRequest.RequestURI, Host: pr.httpRequest.Host, Body: pr.body,
 		Header: cf.Protocol.EndpointHeaders(pr.httpRequest.Header, ForwardInfo{
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -121,6 +121,8 @@
 	Link Link
 	// Space bounds the memory that the bodies of requests and responses take.
 	Space *space.Space
+	// Shedder decides whether this instance takes new requests; nil means that it takes all.
+	Shedder Shedder
 	// Metrics counts the requests and their outcomes.
 	Metrics *Metrics
 	// Clock returns the monotonic time since the process started.
@@ -135,12 +137,18 @@
 }
 
 // New returns the HTTP handler for callers.
-func New(config Config) http.Handler { return &gate{config: config} }
+func New(config Config) http.Handler {
+	if config.Shedder == nil {
+		config.Shedder = unlimited{}
+	}
+	return &gate{config: config}
+}
 
 // ServeHTTP handles one request of a caller.
 func (ga *gate) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
 	pr := &proxyRequest{gate: ga, writer: wr, httpRequest: rq, start: ga.config.Clock(), plan: ga.config.Beliefs.Plan(), memory: ga.config.Space.Open()}
 	defer pr.memory.Close()
+	defer pr.endLoad()
 	if len(rq.TransferEncoding) > 0 || ga.config.Beliefs.Draining() {
 		// Guards against request smuggling: a proxy that frames a chunked body differently may take a part of the body for a further request.
 		wr.Header().Set("Connection", "close")
@@ -178,7 +186,9 @@
 	// cost is the number of tokens that the request has used so far.
 	cost           int64
 	borrowAttempts int
-	entry          logEntry
+	// admitted reports whether the request counts as in flight for the shedder.
+	admitted bool
+	entry    logEntry
 }
 
 func (pr *proxyRequest) now() time.Duration { return pr.gate.config.Clock() }
@@ -212,6 +222,9 @@
 	if err := pr.checkStop(); err != nil {
 		return err
 	}
+	if err := pr.checkLoad(); err != nil {
+		return err
+	}
 	return pr.readBody()
 }
 
--- a/internal/gate/response.go
+++ b/internal/gate/response.go
@@ -32,11 +32,12 @@
 	body   []byte
 }
 
-func (rs *response) write(wr http.ResponseWriter) error {
+func (rs *response) write(pr *proxyRequest) error {
+	wr := pr.writer
 	copyHeader(wr.Header(), rs.header)
 	wr.Header().Set("Content-Length", strconv.Itoa(len(rs.body)))
 	wr.WriteHeader(rs.status)
-	if _, err := wr.Write(rs.body); err != nil {
+	if err := pr.write(rs.body, false); err != nil {
 		return fault.Wrap(err, fault.Canceled, fault.Ran, "the caller left")
 	}
 	return nil
@@ -88,7 +89,7 @@
 		pr.gate.config.Quarantine.RecordAnswer(pr.traits, fw.endpoint)
 	}
 	pr.entry.firstEventAt = pr.now()
-	return place.Answered, rs.write(pr.writer)
+	return place.Answered, rs.write(pr)
 }
 
 // withoutMemory ends an attempt whose response does not fit into the memory of this instance.
@@ -198,10 +199,7 @@
 // relayComment sends an event without data to the caller. It is neither billed nor does it show that the stream makes progress.
 func (fw *forwarder) relayComment(ex *conns.Exchange, data []byte) error {
 	fw.startResponse(ex)
-	if _, err := fw.request.writer.Write(data); err != nil {
-		return err
-	}
-	return http.NewResponseController(fw.request.writer).Flush()
+	return fw.request.write(data, true)
 }
 
 // startResponse sends the header unless the caller has received it.
@@ -224,11 +222,5 @@
 		pr.gate.config.Quarantine.RecordAnswer(pr.traits, fw.endpoint)
 	}
 	pr.updateCost(fw.eventCount)
-	if _, err := pr.writer.Write(data); err != nil {
-		return err
-	}
-	if !flush {
-		return nil
-	}
-	return http.NewResponseController(pr.writer).Flush()
+	return pr.write(data, flush)
 }
