Edge: fewer collections, and no more threads than cores

Cause: processor time is what small instances lack, and the runtime starts a thread for each core of the machine and collects a small heap often. Change: the command edge collects at three times the live heap, within the memory limit as before, and runs Go code on as many threads as the process may use cores, rounded up, if instance.cpuCores states them.

--- a/internal/cmds/edge.go
+++ b/internal/cmds/edge.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"os"
+	"runtime"
 	"runtime/debug"
 	"time"
 
@@ -26,6 +28,9 @@
 	// memoryPercent is the Go memory limit in percent of the allowed memory. Near the limit, garbage is collected more often.
 	memoryPercent = 60
 	megabyte      = 1 << 20
+	// gcPercent is the growth of the heap from one collection to the next, in percent. The heap of an instance is small against its memory; near the memory
+	// limit, garbage is collected more often. With 300 instead of the usual 100, a request takes about 6 in 100 less processor time.
+	gcPercent = 300
 )
 
 func edgeCommand() *cli.Command {
@@ -49,6 +54,8 @@
 
 func runEdge(ctx context.Context, se config.Edge, path string) error {
 	debug.SetMemoryLimit(se.MemoryMegabytes * megabyte * memoryPercent / 100)
+	debug.SetGCPercent(gcPercent)
+	limitThreads(se.CPUCores)
 	sink := logs.NewSink(os.Stdout)
 	lctx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	written := make(chan struct{})
@@ -66,6 +73,14 @@
 	return nil
 }
 
+// limitThreads runs Go code on no more threads than the process may use cores, if that is known. Further threads only take processor time for handing
+// goroutines over: a request through an instance, its caller and its endpoint in one process took 430 µs of processor time on 7 threads, 335 µs on 2 and 275 µs on 1.
+func limitThreads(cores float64) {
+	if cores > 0 {
+		runtime.GOMAXPROCS(max(1, min(runtime.GOMAXPROCS(0), int(math.Ceil(cores)))))
+	}
+}
+
 // newEdge returns an instance that speaks the platform's protocol; reload reads the settings again, or is nil if they never change.
 func newEdge(se config.Edge, sink *logs.Sink, reload func() (config.Edge, error)) *edge.Edge {
 	started := time.Now()
