--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -180,9 +179,7 @@
 		if pr.entry.quarantined {
 			args = append(args, "content", fmt.Sprintf("%016x", pr.traits.Content), "parts", partNames(pr.info.Parts))
 		}
-		if le.shed.Reason != "" {
-			args = append(args, "shedFor", le.shed.Reason, "lag", seconds(le.shed.Lag), "level", math.Round(le.shed.Level*1000)/1000)
-		}
+		args = append(args, pr.shedFields()...)
 		args = append(args, pr.balanceFields()...)
 	}
 	pr.gate.config.Logger.Info("request", append(args, more...)...)
--- a/internal/gate/shed.go
+++ b/internal/gate/shed.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -48,6 +49,15 @@
 	return fault.New(fault.Overloaded, fault.NotRun, "this instance is overloaded").WithRetryAfter(ve.RetryAfter)
 }
 
+// shedFields returns the decision of the shedder as fields of the log message if it refused the request.
+func (pr *proxyRequest) shedFields() []any {
+	ve := pr.entry.shed
+	if ve.Reason == "" {
+		return nil
+	}
+	return []any{"shedFor", ve.Reason, "lag", seconds(ve.Lag), "level", math.Round(ve.Level*1000) / 1000}
+}
+
 // endLoad is called at the end of each request.
 func (pr *proxyRequest) endLoad() {
 	if pr.admitted {
