--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -11,6 +11,7 @@
 	"github.com/clementineweir/clementineweir/pkg/fault"
 	"github.com/clementineweir/clementineweir/pkg/place"
 	"github.com/clementineweir/clementineweir/pkg/turn"
+	"github.com/clementineweir/clementineweir/pkg/shed"
 )
 
 // logEntry holds the values of a request's log line.
@@ -48,6 +49,8 @@
 	slot turn.Slot
 	// queued is the time for which the request waited for room at an endpoint.
 	queued time.Duration
+	// shed is the decision of the shedder if it refused the request.
+	shed shed.Verdict
 }
 
 func (le *logEntry) recordDecision(de place.Decision) {
@@ -185,6 +188,7 @@
 		if pr.entry.quarantined {
 			args = append(args, "content", fmt.Sprintf("%016x", pr.traits.Content), "parts", partNames(pr.info.Parts))
 		}
+		args = append(args, pr.shedFields()...)
 		args = append(args, pr.balanceFields()...)
 	}
 	pr.gate.config.Logger.Info("request", append(args, more...)...)
@@ -192,7 +196,7 @@
 
 // balanceFields returns the team's balance as fields of the log message if a limited request failed before it was sent to an endpoint.
 func (pr *proxyRequest) balanceFields() []any {
-	if !pr.limited || !pr.info.Sized || pr.entry.status < http.StatusBadRequest || len(pr.entry.endpoints) > 0 {
+	if !pr.limited || !pr.info.Sized || pr.entry.shed.Reason != "" || pr.entry.status < http.StatusBadRequest || len(pr.entry.endpoints) > 0 {
 		return nil
 	}
 	ba := pr.gate.config.Purses.Shard(pr.team).Balance(pr.now(), pr.team)
