--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -10,8 +10,8 @@
 
 	"github.com/clementineweir/clementineweir/pkg/fault"
 	"github.com/clementineweir/clementineweir/pkg/place"
-	"github.com/clementineweir/clementineweir/pkg/turn"
 	"github.com/clementineweir/clementineweir/pkg/shed"
+	"github.com/clementineweir/clementineweir/pkg/turn"
 )
 
 // logEntry holds the values of a request's log line.
