Quota: lent tokens stay apart from spent ones over restarts

The next incarnation of a lender took all that its row allowed for spent, also the tokens that the row states as lent and those that it had sent to another holder during an outage. The borrowers' rows count the same tokens as spent, so requests were refused with Uncertain while tokens were there, and what was lost to a team could not be read from the rows.

The next incarnation now inherits the net transfers apart from what counts as spent: those that its row states, and those that the rows of others show as received from a lender whose row does not state them. Its own row carries them on in NetLent. What is surely left is the total less what all rows state as spent or lent, which counts each token once. The use that bounds grants and ceilings is the same as before. Rows keep their fields: an older build that reads a new row, and this build with an older row, inherit the same use.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -30,9 +30,11 @@
 	// negative if they received more from peers than they spent.
 	inheritedUse int64
 	inherited    bool
+	// inheritedNetLent is the part of inheritedUse that earlier incarnations lent, less what they received. It is negative if they received more.
+	inheritedNetLent int64
 	// reserved is the sum of the reservations of requests in flight.
 	reserved int64
-	// writtenOff is the part of inheritedUse that counts as spent although it is unknown whether earlier incarnations spent it.
+	// writtenOff is the part of totalSpent that counts as spent although it is unknown whether earlier incarnations spent it.
 	writtenOff int64
 	// waiting is the sum of the tokens that waiting requests need.
 	waiting int64
@@ -55,10 +57,13 @@
 }
 
 // used returns the tokens that count against the grant: those spent, reserved or lent, less those received from peers.
-func (ac *account) used() int64 { return ac.totalSpent() + ac.reserved + ac.lent - ac.received }
+func (ac *account) used() int64 { return ac.totalSpent() + ac.reserved + ac.netLent() }
 
 // totalSpent returns the tokens that count as spent by this and all earlier incarnations.
-func (ac *account) totalSpent() int64 { return ac.inheritedUse + ac.spent }
+func (ac *account) totalSpent() int64 { return ac.inheritedUse - ac.inheritedNetLent + ac.spent }
+
+// netLent returns the tokens that this and all earlier incarnations have lent, less those that they received.
+func (ac *account) netLent() int64 { return ac.inheritedNetLent + ac.lent - ac.received }
 
 // limit returns the maximum that used() can reach now. It is the minimum of granted() - excess and the limits of the row in force and of
 // all pending rows, since any of these may have taken effect. The parameter excess is how much the sum of the team's grants exceeds its
--- a/pkg/quota/build.go
+++ b/pkg/quota/build.go
@@ -193,12 +193,12 @@
 		Spent: ac.totalSpent(), WrittenOff: ac.writtenOff, Demand: demand,
 		BurstRate: demand * burstRatePercent / percent, BurstDelay: burstDelay, Need: ac.waiting,
 		Wall: stamp.Wall.UnixMilli(), Boot: stamp.Boot.Milliseconds(), Incarnation: sh.config.Incarnation,
-		OwnDemand: ac.ownDemand.perSecond(now), NetLent: ac.lent - ac.received,
+		OwnDemand: ac.ownDemand.perSecond(now), NetLent: ac.netLent(),
 	}
 }
 
 // inherit takes over the row of an earlier incarnation of this instance: all tokens that the row allowed it to use until the start of this incarnation
-// count as spent.
+// count as used. Those that the row states as lent stay lent, since the borrowers count them as spent; what goes beyond the row is written off.
 func (sh *Shard) inherit(ac *account) {
 	old, ok := sh.rows[ac.team][sh.config.Instance]
 	outdated := sh.outdated(old.row)
@@ -209,24 +209,45 @@
 		return
 	}
 	// The limit of a row includes the tokens lent less those received, because these count as used.
-	spent := old.row.Granted
+	use := old.row.Granted
 	if elapsed, ok := old.row.elapsed(sh.startStamp); ok {
-		spent = old.row.limit(elapsed)
+		use = old.row.limit(elapsed)
 	}
 	if outdated {
-		spent = sh.outdatedUse(ac.team, old.row)
+		use = sh.outdatedUse(ac.team, old.row)
 	}
 	// The first value is taken even if it is negative, as it is when an earlier incarnation received more from peers than it used.
-	if spent > ac.inheritedUse || !ac.inherited {
+	if use > ac.inheritedUse || !ac.inherited {
 		ac.inherited = true
-		ac.writtenOff = max(0, old.row.WrittenOff+spent-old.row.Spent)
-		ac.inheritedUse = spent
+		ac.inheritedUse = use
+		ac.inheritedNetLent = sh.inheritedNetLent(ac.team, old.row, use)
+		beyond := use - ac.inheritedNetLent - old.row.Spent
+		ac.writtenOff = max(0, old.row.WrittenOff+beyond)
 		if outdated {
-			sh.takeovers = append(sh.takeovers, Takeover{Team: ac.team, Spent: spent, InTopic: old.row.Spent, Witnessed: sh.witnessed()})
+			sh.takeovers = append(sh.takeovers, Takeover{Team: ac.team, Spent: ac.totalSpent(), InTopic: old.row.Spent, Witnessed: sh.witnessed()})
 		}
 	}
 }
 
+// inheritedNetLent returns the part of the use of an earlier incarnation that counts as lent: what its row states, and what the rows of others
+// show that they have received from somebody whose row does not state it. Rows of builds that do not state transfers count as if they had
+// spent what they state.
+//
+// The result decides only how the use is described. The use itself, which bounds the grants, does not depend on it.
+func (sh *Shard) inheritedNetLent(team string, row Row, use int64) int64 {
+	if use <= row.statedUse() {
+		return use - row.Spent
+	}
+	// What this instance received is not held against it if the lender's row does not state it.
+	unstated := max(0, row.NetLent)
+	for instance, sr := range sh.rows[team] {
+		if instance != sh.config.Instance {
+			unstated += sr.row.NetLent
+		}
+	}
+	return row.NetLent + min(use-row.statedUse(), max(0, -unstated))
+}
+
 // nextGrant returns the grant for the next row: the tokens used, and a share of the team's remaining tokens.
 func (sh *Shard) nextGrant(ac *account, now time.Duration) int64 {
 	used := ac.used()
@@ -303,9 +324,9 @@
 	return max(0, share)
 }
 
-// usedAtLeast returns the tokens of the grant that were spent when the row was built. The instance may have spent more since then, up to
-// the ceiling of the row.
-func (ro Row) usedAtLeast() int64 { return min(ro.Spent, ro.Granted) }
+// usedAtLeast returns the tokens of the grant that were spent or lent when the row was built. The instance may have used more since then, up
+// to the ceiling of the row.
+func (ro Row) usedAtLeast() int64 { return min(ro.statedUse(), ro.Granted) }
 
 // due reports whether the new row should be appended: no row is in force, an append is pending, the store has lost the row in force, it is too old,
 // or the new row differs enough from it.
--- a/pkg/quota/holders.go
+++ b/pkg/quota/holders.go
@@ -45,7 +45,7 @@
 	list := make([]ranked, 0, len(sh.members))
 	for _, name := range sh.members {
 		sr, ok := sh.rows[team][name]
-		if ok && name != sh.config.Instance && now-sr.seenAt > activeSpan && sr.row.Granted != sr.row.Spent {
+		if ok && name != sh.config.Instance && now-sr.seenAt > activeSpan && sr.row.Granted != sr.row.statedUse() {
 			continue
 		}
 		list = append(list, ranked{
--- a/pkg/quota/replay_test.go
+++ b/pkg/quota/replay_test.go
@@ -153,7 +153,7 @@
 	_ = in.view.Poll(context.Background(), 0)
 	sum := si.total
 	for _, row := range in.shard.rows[testTeam] {
-		sum -= row.row.Spent
+		sum -= row.row.statedUse()
 	}
 	return sum
 }
--- a/pkg/quota/row.go
+++ b/pkg/quota/row.go
@@ -41,7 +41,7 @@
 	// OwnDemand is the part of Demand that the instance spends itself, in tokens a second. The rest of Demand are tokens lent to peers.
 	OwnDemand int64 `cbor:"14,keyasint"`
 	// NetLent is the number of tokens lent to peers less those received from peers; it is part of the tokens used
-	// (account.used), but not of Spent.
+	// (account.used), but not of Spent. It includes the transfers of earlier incarnations; rows of older builds count those in Spent.
 	NetLent int64 `cbor:"15,keyasint"`
 	// MaxCeiling is the highest value that the ceiling reaches; zero means that it is not bounded.
 	MaxCeiling int64 `cbor:"16,keyasint"`
@@ -63,6 +63,10 @@
 	return first.At(elapsed) + later.At(elapsed)
 }
 
+// statedUse returns the tokens of the grant that the row states as spent or lent. More than that may be in use: the reservations of requests
+// in flight, and what the instance has used since the row was built.
+func (ro Row) statedUse() int64 { return ro.Spent + ro.NetLent }
+
 // limit returns the minimum of the grant and the ceiling at the given time after the row was built: the maximum number of tokens that the
 // instance may have used under the row.
 func (ro Row) limit(elapsed time.Duration) int64 { return min(ro.Granted, ro.ceiling(elapsed)) }
--- a/pkg/quota/shard.go
+++ b/pkg/quota/shard.go
@@ -32,8 +32,9 @@
 	OverCeiling
 	// OverGrant means that the request exceeds this instance's grant, though the team has enough tokens.
 	OverGrant
-	// Uncertain means that the team's remaining tokens cover the request, but some of them may have been spent already: those written off, or
-	// those lent to instances without a row. Without these, too few tokens remain.
+	// Uncertain means that the team's remaining tokens cover the request, but some of them may have been spent already: those written off, and
+	// those lent to instances without a row. Without these, too few tokens remain according to the rows. A peer may have received tokens since
+	// its last row, so the request may still borrow.
 	Uncertain
 	// Exhausted means that the request exceeds the team's remaining tokens.
 	Exhausted
@@ -133,11 +134,11 @@
 		}
 		return Reserved
 	}
-	remaining, writtenOff := sh.remaining(team)
+	le := sh.leftover(team)
 	switch {
-	case remaining < tokens:
+	case le.remaining < tokens:
 		return Exhausted
-	case remaining-writtenOff < tokens, remaining-sh.netLent(team) < tokens:
+	case le.remaining-le.writtenOff-le.lent < tokens:
 		return Uncertain
 	case tokens <= ac.granted()-sh.excess(team)-ac.used():
 		return OverCeiling
@@ -246,10 +247,12 @@
 	Limit int64
 	// Age is the time since the row in force was built, zero if this incarnation has none.
 	Age time.Duration
-	// Remaining is the part of the team's total that is not known to be spent by any instance. It includes WrittenOff.
+	// Remaining is the part of the team's total that is not known to be spent by any instance. It includes WrittenOff and Lent.
 	Remaining int64
 	// WrittenOff is the number of tokens that count as spent at any instance although it is unknown whether earlier incarnations spent them.
 	WrittenOff int64
+	// Lent is the number of tokens lent to instances without a row, or lost on the way; no row says how many of them are spent.
+	Lent int64
 }
 
 // Balance returns the amounts of a team at this instance.
@@ -257,7 +260,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	ac := sh.account(team)
-	remaining, writtenOff := sh.remaining(team)
+	le := sh.leftover(team)
 	age := time.Duration(0)
 	if ac.inForce != nil {
 		age = now - ac.inForce.builtAt
@@ -265,7 +268,7 @@
 	return Balance{
 		Age:     age,
 		Granted: ac.granted(), Spent: ac.totalSpent(), Reserved: ac.reserved,
-		Limit: ac.limit(now, sh.excess(team)), Remaining: remaining, WrittenOff: writtenOff,
+		Limit: ac.limit(now, sh.excess(team)), Remaining: le.remaining, WrittenOff: le.writtenOff, Lent: le.lent,
 	}
 }
 
@@ -282,31 +285,32 @@
 	return sum
 }
 
-// remaining returns the tokens of the total that are not known to be spent, and the part of them that was written off because earlier
-// incarnations may have spent it.
-func (sh *Shard) remaining(team string) (remaining, writtenOff int64) {
-	ac := sh.account(team)
-	remaining = sh.totals[team] - (ac.totalSpent() - ac.writtenOff)
-	writtenOff = ac.writtenOff
-	for instance, sr := range sh.rows[team] {
-		if instance != sh.config.Instance {
-			remaining -= sr.row.Spent - sr.row.WrittenOff
-			writtenOff += sr.row.WrittenOff
-		}
-	}
-	return remaining, writtenOff
+// leftover is what is left of a team's total, in tokens; the last two are parts of the first.
+type leftover struct {
+	// remaining are the tokens that are not known to be spent.
+	remaining int64
+	// writtenOff are those that earlier incarnations may have spent, and lent those that instances without a row may have spent.
+	writtenOff int64
+	lent       int64
 }
 
-// netLent returns the tokens that instances with rows have lent to instances without rows. Most of them have probably been used.
-func (sh *Shard) netLent(team string) int64 {
+// leftover returns what is left of a team's total according to the rows. Each token counts once: a transfer between two instances with rows
+// is lent in one row and received in the other.
+func (sh *Shard) leftover(team string) leftover {
 	ac := sh.account(team)
-	sum := ac.lent - ac.received
+	spent, writtenOff, netLent := ac.totalSpent(), ac.writtenOff, ac.netLent()
 	for instance, sr := range sh.rows[team] {
 		if instance != sh.config.Instance {
-			sum += sr.row.NetLent
+			spent += sr.row.Spent
+			writtenOff += sr.row.WrittenOff
+			netLent += sr.row.NetLent
 		}
 	}
-	return max(0, sum)
+	// If more tokens were received than lent according to the rows, the lender was killed before its row stated it. It then counts them as
+	// written off, although they are at the receiver.
+	return leftover{
+		remaining: sh.totals[team] - spent + writtenOff, writtenOff: max(0, writtenOff+min(0, netLent)), lent: max(0, netLent),
+	}
 }
 
 func (sh *Shard) account(team string) *account {
