Gate, quota: a request borrows also if the rows leave too little; takeovers are logged

Uncertain refused a request at once. The row of a peer may be older than the tokens that the peer has received, so a request now tries to borrow if a row of another instance shows unused tokens, and is refused as before if that fails.

The log line 'grants taken over' and weir_tokens_written_off_total (by team) say what a restart writes off. The line of a refused request has what is lent to instances without a row.

Rows get no further field: record.Unmarshal of older builds fails on unknown fields, and they would count the whole total as granted.

--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -151,6 +152,9 @@
 		lo.Info("grants found", "shard", gs.partition, "offset", gs.view.Next(), "era", era, "rows", list)
 	}
 	if list := gs.quota.TakeTakeovers(); len(list) > 0 {
+		for _, ta := range list {
+			gs.edge.metrics.Counter(fmt.Sprintf("weir_tokens_written_off_total{team=%q}", ta.Team)).AddInt64(ta.WrittenOff)
+		}
 		lo.Info("grants taken over", "shard", gs.partition, "era", era, "teams", list)
 	}
 }
--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -49,6 +49,10 @@
 		case quota.Exhausted:
 			return fault.New(fault.BudgetExhausted, fault.NotRun, "what is left of the prepaid total does not cover the request")
 		case quota.Uncertain:
+			// The rows of the peers may be older than the tokens that they have received.
+			if sh.OthersHaveUnused(pr.team) && pr.borrow(tokens) {
+				continue
+			}
 			return fault.New(fault.Unavailable, fault.NotRun, "what is surely left of the prepaid total does not cover the request").
 				WithRetryAfter(uncertainRetryAfter)
 		case quota.OverCeiling, quota.OverGrant:
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -189,7 +189,7 @@
 	ba := pr.gate.config.Purses.Shard(pr.team).Balance(pr.now(), pr.team)
 	return []any{
 		"asked", pr.info.Prompt + pr.info.Output, "granted", ba.Granted, "grantAge", seconds(ba.Age), "spent", ba.Spent, "reserved", ba.Reserved,
-		"limit", ba.Limit, "left", ba.Remaining, "lost", ba.WrittenOff,
+		"limit", ba.Limit, "left", ba.Remaining, "lost", ba.WrittenOff, "lent", ba.Lent,
 	}
 }
 
--- a/pkg/quota/build.go
+++ b/pkg/quota/build.go
@@ -197,6 +197,9 @@
 	}
 }
 
+// unknownAge stands for the age of a row that the clocks do not tell.
+const unknownAge = -time.Millisecond
+
 // inherit takes over the row of an earlier incarnation of this instance: all tokens that the row allowed it to use until the start of this incarnation
 // count as used. Those that the row states as lent stay lent, since the borrowers count them as spent; what goes beyond the row is written off.
 func (sh *Shard) inherit(ac *account) {
@@ -209,9 +212,9 @@
 		return
 	}
 	// The limit of a row includes the tokens lent less those received, because these count as used.
-	use := old.row.Granted
+	use, age := old.row.Granted, unknownAge
 	if elapsed, ok := old.row.elapsed(sh.startStamp); ok {
-		use = old.row.limit(elapsed)
+		use, age = old.row.limit(elapsed), elapsed
 	}
 	if outdated {
 		use = sh.outdatedUse(ac.team, old.row)
@@ -223,9 +226,10 @@
 		ac.inheritedNetLent = sh.inheritedNetLent(ac.team, old.row, use)
 		beyond := use - ac.inheritedNetLent - old.row.Spent
 		ac.writtenOff = max(0, old.row.WrittenOff+beyond)
-		if outdated {
-			sh.takeovers = append(sh.takeovers, Takeover{Team: ac.team, Spent: ac.totalSpent(), InTopic: old.row.Spent, Witnessed: sh.witnessed()})
-		}
+		sh.recordTakeover(Takeover{
+			Team: ac.team, Spent: use - ac.inheritedNetLent, InTopic: old.row.Spent, WrittenOff: max(0, beyond),
+			Lent: ac.inheritedNetLent, Age: age.Milliseconds(), Outdated: outdated, Witnessed: outdated && sh.witnessed(),
+		})
 	}
 }
 
--- a/pkg/quota/restored.go
+++ b/pkg/quota/restored.go
@@ -205,15 +205,32 @@
 	return max(row.Granted, sh.totals[team]-others)
 }
 
-// Takeover is what counts as spent by the earlier incarnations of this instance because the store may have lost their newest rows.
+// Takeover is what this instance takes over from its earlier incarnations for one team, in tokens.
 type Takeover struct {
 	// Team is the name of the team.
 	Team string `json:"team"`
-	// Spent is the number of tokens that count as spent, and InTopic the number in the row that the store has.
+	// Spent counts as spent; InTopic is the number that the row in the store states as spent.
 	Spent   int64 `json:"spent"`
 	InTopic int64 `json:"inTopic"`
-	// Witnessed reports whether another instance knew the rows.
-	Witnessed bool `json:"witnessed"`
+	// WrittenOff is the part of Spent that the row does not state, and that this takeover writes off.
+	WrittenOff int64 `json:"lost"`
+	// Lent is what counts as lent to peers, less what was received from them.
+	Lent int64 `json:"lent,omitempty"`
+	// Age is the time from the row to the start of this incarnation, in milliseconds; it is negative if the clocks do not tell.
+	Age int64 `json:"age"`
+	// Outdated reports whether the store may have lost newer rows, and Witnessed whether another instance knew them then.
+	Outdated  bool `json:"outdated,omitempty"`
+	Witnessed bool `json:"witnessed,omitempty"`
+}
+
+// recordTakeover keeps a takeover for TakeTakeovers if it writes off tokens or the row may be outdated. One of the same team that was not taken yet is replaced: a newer row of the earlier incarnation
+// was read after it.
+func (sh *Shard) recordTakeover(ta Takeover) {
+	if ta.WrittenOff == 0 && !ta.Outdated {
+		return
+	}
+	sh.takeovers = slices.DeleteFunc(sh.takeovers, func(other Takeover) bool { return other.Team == ta.Team })
+	sh.takeovers = append(sh.takeovers, ta)
 }
 
 // TakeTakeovers returns the takeovers since the last call.
--- a/pkg/quota/row.go
+++ b/pkg/quota/row.go
@@ -12,6 +12,9 @@
 const rowPrefix = "grant/"
 
 // Row is the record in the topic for one team at one instance; all amounts are in tokens.
+//
+// A further field would make the row unreadable to older builds (record.Unmarshal fails on unknown fields), and for those the whole total then
+// counts as granted until no such row is left.
 type Row struct {
 	// Granted is the limit on the tokens that this and all earlier incarnations of the instance may use together; see account.used.
 	Granted int64 `cbor:"1,keyasint"`
--- a/pkg/quota/shard.go
+++ b/pkg/quota/shard.go
@@ -313,6 +313,18 @@
 	}
 }
 
+// OthersHaveUnused reports whether the row of another instance shows unused tokens of a team, so that it may lend.
+func (sh *Shard) OthersHaveUnused(team string) bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for instance, sr := range sh.rows[team] {
+		if instance != sh.config.Instance && sr.row.Granted > sr.row.statedUse() {
+			return true
+		}
+	}
+	return false
+}
+
 func (sh *Shard) account(team string) *account {
 	ac, ok := sh.accounts[team]
 	if !ok {
--- a/pkg/quota/transfers_test.go
+++ b/pkg/quota/transfers_test.go
@@ -191,6 +191,14 @@
 			if diff := cmp.Diff(tc.want, []int64{ac.used(), ac.totalSpent(), ac.netLent(), ac.writtenOff}); diff != "" {
 				tt.Errorf("tokens used, spent, lent and written off (-want +got): %s", diff)
 			}
+			// A takeover tells what it writes off itself, without what the row had written off already.
+			reported := int64(0)
+			for _, ta := range in.shard.TakeTakeovers() {
+				reported += ta.WrittenOff
+			}
+			if diff := cmp.Diff(ac.writtenOff-tc.row.WrittenOff, reported); diff != "" {
+				tt.Errorf("tokens written off by the takeover (-want +got): %s", diff)
+			}
 		})
 	}
 }
