--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -37,11 +37,10 @@
 		return nil
 	}
 	tokens := pr.info.Prompt + pr.info.Output
-	sh := pr.gate.config.Purses.Shard(pr.team)
 	giveUpAt := min(pr.deadline, pr.now()+time.Duration(reserveWaitShare*float64(pr.route.LatencyTarget)))
 	awaitedRow := false
 	for {
-		result := sh.Reserve(pr.now(), pr.team, tokens)
+		result := pr.tryReserve(tokens)
 		switch result {
 		case quota.Reserved:
 			pr.reserved = tokens
@@ -49,10 +48,6 @@
 		case quota.Exhausted:
 			return fault.New(fault.BudgetExhausted, fault.NotRun, "what is left of the prepaid total does not cover the request")
 		case quota.Uncertain:
-			// The rows of the peers may be older than the tokens that they have received.
-			if sh.OthersHaveUnused(pr.team) && pr.borrow(tokens) {
-				continue
-			}
 			return fault.New(fault.Unavailable, fault.NotRun, "what is surely left of the prepaid total does not cover the request").
 				WithRetryAfter(uncertainRetryAfter)
 		case quota.OverCeiling, quota.OverGrant:
@@ -72,6 +67,17 @@
 	}
 }
 
+// tryReserve reserves tokens in the team's grant. If the rows leave too few, it borrows as long as the row of a peer shows unused tokens: rows may
+// be older than the tokens that the peer has received.
+func (pr *proxyRequest) tryReserve(tokens int64) quota.ReserveResult {
+	sh := pr.gate.config.Purses.Shard(pr.team)
+	result := sh.Reserve(pr.now(), pr.team, tokens)
+	for result == quota.Uncertain && sh.OthersHaveUnused(pr.team) && pr.borrow(tokens) {
+		result = sh.Reserve(pr.now(), pr.team, tokens)
+	}
+	return result
+}
+
 // insufficientTokens returns the error for a team that has tokens left, but too few of them at this instance.
 func (pr *proxyRequest) insufficientTokens() error {
 	retry := insufficientRetryAfter
--- a/pkg/quota/row.go
+++ b/pkg/quota/row.go
@@ -90,11 +90,17 @@
 // elapsed returns an upper bound of the time since the row was built; ok is false if neither clock can be compared.
 //
 // After a reboot the boot time starts again from zero. If the two clocks disagree on the elapsed time by more than maxClockStep, a reboot
-// is assumed. Then only the wall clock is compared, on the assumption that it was not set back meanwhile.
+// is assumed. Then only the wall clock is compared, on the assumption that it was not set back meanwhile. If the row seems to be from the
+// future, it was set back all the same, by maxClockStep at most unless the row seems newer than that. The time since the reboot is no
+// bound: the machine may be another one than that of the earlier process, which then went on, and the time for which the machine was off is
+// all that covers a wall clock that was set back unnoticed.
 func (ro Row) elapsed(st Stamp) (time.Duration, bool) {
 	wall := time.Duration(st.Wall.UnixMilli()-ro.Wall) * time.Millisecond
 	boot := st.Boot - time.Duration(ro.Boot)*time.Millisecond
 	if (wall - boot).Abs() > maxClockStep {
+		if wall < 0 {
+			wall += maxClockStep
+		}
 		return wall, wall >= 0
 	}
 	longest := max(wall, boot)
