Place: endpoints report how long work takes, and their load counts in the expected time

Cause: a load header with four values was discarded as malformed, and each request beyond the slots counted as 20 ms, whatever a slot is held for. Change: the fourth value is decoded and bounded. The expected time uses it while it is less than 300 ms old, fading to a slow average; measured times are divided by it, so that it is not counted twice. A request beyond the slots waits for the measured time until a slot becomes free.

--- a/pkg/place/attempt.go
+++ b/pkg/place/attempt.go
@@ -12,8 +12,11 @@
 	state     *state
 	request   Request
 	startedAt time.Duration
-	// expectedFirstEvent is the time to the first event, as estimated when the endpoint was chosen.
-	expectedFirstEvent time.Duration
+	// usualFirstEvent is the time to the first event that was expected when the endpoint was chosen, without the work factor.
+	usualFirstEvent time.Duration
+	// firstEventAt is the time of the first event, and workAtStart the work factor of the endpoint at startedAt.
+	firstEventAt time.Duration
+	workAtStart  float64
 	// expectedUncached is the number of prompt tokens to prefill, as estimated when the endpoint was chosen.
 	expectedUncached int64
 	gotFirstEvent    bool
@@ -42,24 +45,16 @@
 		// Requests with the same prefix could not follow to an endpoint with a rate limit.
 		ba.locations.record(rq.PrefixID(), de.Endpoint.ID)
 	}
+	work := st.work.factor(now)
 	return &Attempt{
-		balancer: ba, state: st, request: rq, startedAt: now,
-		expectedFirstEvent: de.TimeToFirstEvent, expectedUncached: de.UncachedTokens, epoch: ba.epoch,
+		balancer: ba, state: st, request: rq, startedAt: now, workAtStart: work,
+		usualFirstEvent: time.Duration(float64(de.TimeToFirstEvent) / work), expectedUncached: de.UncachedTokens, epoch: ba.epoch,
 	}
 }
 
 // RecordActivity records that the endpoint sent data for the attempt.
 func (at *Attempt) RecordActivity(now time.Duration) { at.state.lastActivity.Store(int64(now)) }
 
-// RecordLoad records the load that the endpoint reported with its response.
-func (at *Attempt) RecordLoad(now time.Duration, lo Load) {
-	at.balancer.mu.Lock()
-	defer at.balancer.mu.Unlock()
-	at.state.load = lo
-	at.state.loadAt = now
-	at.state.runningAtLoad = at.state.running
-}
-
 // RecordFirstEvent is called at the first event of a stream; further calls have no effect.
 func (at *Attempt) RecordFirstEvent(now time.Duration) {
 	at.balancer.mu.Lock()
@@ -68,10 +63,14 @@
 		return
 	}
 	at.gotFirstEvent = true
+	at.firstEventAt = now
 	at.endPrefill()
-	if at.state.slowness > 0 {
-		at.state.recordTime(time.Duration(float64(at.expectedFirstEvent)/at.state.slowness), now-at.startedAt)
-	}
+	at.state.recordTime(time.Duration(float64(at.usualFirstEvent)/at.state.slowness), at.usualTime(now, now-at.startedAt))
+}
+
+// usualTime returns how long a measured time that ends now would have taken if the work of the endpoint had taken the usual time.
+func (at *Attempt) usualTime(now, measured time.Duration) time.Duration {
+	return time.Duration(float64(measured) / ((at.workAtStart + at.state.work.factor(now)) / 2))
 }
 
 // endPrefill takes the uncached tokens of the request off the endpoint's backlog, unless ForgetLoad has; the caller holds the lock.
@@ -118,7 +117,9 @@
 	case Answered:
 		st.circuit.End(now, false)
 		if at.request.Prompt == 0 {
-			st.recordLatency(now - at.startedAt)
+			st.recordLatency(at.usualTime(now, now-at.startedAt))
+		} else if at.gotFirstEvent {
+			st.service.recordHold(at.usualTime(now, now-at.firstEventAt))
 		}
 	case Failed:
 		st.circuit.End(now, false)
--- a/pkg/place/balancer.go
+++ b/pkg/place/balancer.go
@@ -20,11 +20,6 @@
 	// quadraticTime sets the quadratic part of the prefill time, which attention causes: uncached * prompt / 1e6 * quadraticTime. Here
 	// uncached and prompt are numbers of tokens.
 	quadraticTime = 250 * time.Microsecond
-	// defaultLatency is the expected latency of a plain service before any was measured. For a request to a model, each request beyond the
-	// endpoint's slots adds defaultLatency to the expected time to the first event.
-	defaultLatency = 20 * time.Millisecond
-	// perRequestTime is added to the expected time to the first event for each request in flight at the endpoint.
-	perRequestTime = 400 * time.Microsecond
 	// crossDomainTime is added to the cost of an endpoint in another failure domain, for the round trip and the transfer.
 	crossDomainTime = 5 * time.Millisecond
 	// failurePenalty is added to the cost of an endpoint for each recent failure.
@@ -40,8 +35,6 @@
 	// localPrefixTokens is the minimum size of a shared prefix for which the preferred endpoint can be in another failure domain. Prefilling a
 	// shorter prefix once more in each domain costs less than sending requests to another domain.
 	localPrefixTokens = 600
-	// queuedPromptTokens is the assumed number of uncached tokens of each request in an endpoint's queue.
-	queuedPromptTokens = 1500
 )
 
 // Balancer chooses endpoints by their load and their cached prefixes, as far as this instance knows them; it is safe for concurrent use.
@@ -64,6 +57,8 @@
 	// no room.
 	brittle map[string]brittleService
 	full    int
+	// estimates holds what is known of all endpoints of a service together, by service.
+	estimates map[string]*estimate
 	// epoch is the number of calls of ForgetLoad.
 	epoch int
 }
@@ -76,7 +71,7 @@
 
 // NewBalancer returns a balancer that knows nothing of any endpoint.
 func NewBalancer() *Balancer {
-	return &Balancer{states: map[string]*state{}, limits: newRateLimits(), fleet: fleet{instances: 1, random: newRandom(""), usage: map[string]*usage{}}, brittle: map[string]brittleService{}}
+	return &Balancer{states: map[string]*state{}, limits: newRateLimits(), fleet: fleet{instances: 1, random: newRandom(""), usage: map[string]*usage{}}, brittle: map[string]brittleService{}, estimates: map[string]*estimate{}}
 }
 
 // Pick chooses one of the listed endpoints of a service for a request. It refuses the request if all endpoints were tried, or if no
@@ -131,9 +126,7 @@
 		toFirstEvent += cp.time
 		cost := toFirstEvent + time.Duration(st.recentFailures(now)*float64(failurePenalty)) + prefillPenalty(rq, uncached, weight) + cp.time
 		cost += inactivityFactor*st.inactivity(now) + jitter(rq, en)
-		if en.Domain != rq.Domain {
-			cost += crossDomainTime
-		}
+		cost += ba.leavingCost(now, se, rq, en)
 		if best.Endpoint == nil || cost < least {
 			best.Endpoint, best.TimeToFirstEvent, best.QueueTime, best.UncachedTokens, least = en, toFirstEvent, queueTime, uncached, cost
 			best.Source, best.CopyTokens = cp.source, cp.tokens
@@ -142,6 +135,14 @@
 	return best
 }
 
+// leavingCost returns the cost of sending the request to the endpoint for the round trip and the transfer, if that is in another failure domain.
+func (ba *Balancer) leavingCost(_ time.Duration, _ *plan.Service, rq Request, en *roster.Endpoint) time.Duration {
+	if en.Domain == rq.Domain {
+		return 0
+	}
+	return crossDomainTime
+}
+
 // cachedTokens returns the number of prompt tokens that the endpoint is expected to have cached; holder is true if the endpoint is the one
 // returned by prefixHolder.
 func (st *state) cachedTokens(rq Request, holder bool) int64 {
@@ -155,35 +156,6 @@
 	return cached
 }
 
-// expect estimates the time until the first event of the response arrives or, for a plain service, the complete response. queueTime is how
-// much of this time the endpoint spends on the prompts of other requests. The parameter uncached is the number of prompt tokens to prefill.
-func (st *state) expect(now time.Duration, se *plan.Service, rq Request, uncached int64) (toFirstEvent, queueTime time.Duration) {
-	inFlight := st.running + st.otherRequests(now)
-	if rq.Prompt == 0 {
-		return st.expectLatency(inFlight), 0
-	}
-	backlog := max(st.prefillBacklog+st.peerBacklog(now), int64(st.waiting(now))*queuedPromptTokens)
-	queueTime = time.Duration(float64(backlog) / prefillRate * float64(time.Millisecond))
-	prefill := time.Duration(float64(uncached) / prefillRate * float64(time.Millisecond))
-	prefill += time.Duration(float64(uncached) * float64(rq.Prompt) / 1e6 * float64(quadraticTime))
-	toFirstEvent = firstEventBase + queueTime + prefill + time.Duration(inFlight)*perRequestTime
-	if over := inFlight + 1 - slotsOf(st, se); over > 0 {
-		toFirstEvent += time.Duration(over) * defaultLatency
-	}
-	return time.Duration(float64(toFirstEvent) * st.slowness), time.Duration(float64(queueTime) * st.slowness)
-}
-
-// expectLatency returns the expected latency of a plain service with the given number of requests in flight. The result is
-// latency * (1 + over/slots) * (1 + inFlight/8), where over is the number of requests beyond the slots, including the new one.
-func (st *state) expectLatency(inFlight int) time.Duration {
-	latency := st.latency
-	if latency == 0 {
-		latency = defaultLatency
-	}
-	slots := max(1, st.endpoint.Slots)
-	return latency * time.Duration(slots+max(0, inFlight+1-slots)) / time.Duration(slots) * time.Duration(8+inFlight) / 8
-}
-
 // slotsOf returns the number of requests that the endpoint runs at once, as registered or else as configured for the service.
 func slotsOf(st *state, se *plan.Service) int {
 	if st.endpoint.Slots > 0 {
@@ -234,7 +206,7 @@
 func (ba *Balancer) state(now time.Duration, en *roster.Endpoint, se *plan.Service) *state {
 	st, ok := ba.states[en.ID]
 	if !ok || !st.endpoint.SameProcess(*en) {
-		st = newState(*en, se.KVCapacityTokens)
+		st = newState(*en, se.KVCapacityTokens, ba.estimate(en.Service))
 		st.rateLimit = ba.limits.heard[en.Process()]
 		delete(ba.limits.heard, en.Process())
 		ba.states[en.ID] = st
--- a/pkg/place/request.go
+++ b/pkg/place/request.go
@@ -97,6 +97,9 @@
 	Waiting int
 	// Slots is the number of requests that the endpoint can run at once.
 	Slots int
+	// WorkPercent is how long work takes at the endpoint at the time of the report, in percent of the usual time; zero if the endpoint does not say,
+	// which counts as 100.
+	WorkPercent int
 }
 
 // Outcome classifies the end of an attempt by its effect on the recorded health of the endpoint.
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -17,8 +17,6 @@
 	slownessWeight = 0.2
 	// maxSlowness bounds a single sample of state.slowness.
 	maxSlowness = 20
-	// maxLoadAge is the age beyond which a reported load is stale and no longer used. Each response brings a new one.
-	maxLoadAge = 1500 * time.Millisecond
 	// usualInactivity is the time without data from an endpoint, while requests are in flight there, that is not penalized. The prefill of a
 	// long prompt takes about as long.
 	usualInactivity = 400 * time.Millisecond
@@ -41,13 +39,18 @@
 	// count, which decays with failureHalfLife.
 	failures   float64
 	failuresAt time.Duration
-	// slowness is the moving average of the ratio of measured to expected times to the first event.
+	// slowness is the moving average of the ratio of measured to expected times to the first event, where the expected times contain what the endpoint
+	// said of its work (see workFactor), so that this is not counted twice.
 	slowness float64
 	// latency is the moving average of the latency of a plain service.
 	latency time.Duration
 	// load is the newest load that the endpoint reported, received at loadAt.
 	load   Load
 	loadAt time.Duration
+	// work is what the endpoint said of the duration of its work.
+	work work
+	// service is what is known of all endpoints of the service together.
+	service *estimate
 	// lastActivity is the time at which the endpoint last sent data to this instance. If no request of this instance is in flight, the next
 	// one sets it to its start.
 	lastActivity atomic.Int64
@@ -69,19 +72,11 @@
 }
 
 // newState returns the state of a process that has no requests yet; capacity is the size of its KV memory in tokens, zero if unknown.
-func newState(en roster.Endpoint, capacity int64) *state {
+func newState(en roster.Endpoint, capacity int64, service *estimate) *state {
 	if capacity <= 0 {
 		capacity = defaultKVCapacity
 	}
-	return &state{endpoint: en, cache: newCache(int64(float64(capacity) * cacheShare)), slowness: 1}
-}
-
-// otherRequests returns the number of requests of other instances at the endpoint, from the last reported load; zero if that load is stale.
-func (st *state) otherRequests(now time.Duration) int {
-	if st.loadAt == 0 || now-st.loadAt > maxLoadAge {
-		return 0
-	}
-	return max(0, st.load.Running+st.load.Waiting-st.runningAtLoad)
+	return &state{endpoint: en, cache: newCache(int64(float64(capacity) * cacheShare)), slowness: 1, service: service}
 }
 
 // inactivity returns the time since the endpoint last sent data to this instance, less usualInactivity, but at least zero. It is also zero
@@ -93,14 +88,6 @@
 	return max(0, now-time.Duration(st.lastActivity.Load())-usualInactivity)
 }
 
-// waiting returns the number of requests in the endpoint's queue, from the last reported load; zero if that load is stale.
-func (st *state) waiting(now time.Duration) int {
-	if st.loadAt == 0 || now-st.loadAt > maxLoadAge {
-		return 0
-	}
-	return st.load.Waiting
-}
-
 func (st *state) recordFailure(now time.Duration, weight float64) {
 	st.failures = st.recentFailures(now) + weight
 	st.failuresAt = now
