Place: the prefill rate is learned, without the lag of the instance itself

Cause: 60 tokens a ms were assumed for all endpoints; real rates are 61.8 to 157, so that backlogs, queue limits and copies were judged wrongly. A late instance took its own lag for slowness of the endpoints. Change: the rate of the median endpoint of a service is learned from long, certainly uncached prompts at endpoints with little queue; the slowness of an endpoint is relative to it. Balancer.SetLag takes the lag of the instance: it is subtracted from measured times, and times while it is large are dropped. What costs more to copy than to prefill is not copied. The time for which a slot is held is relative to the slowness, too. New scenarios uneven, uneven-silent and fast.

--- a/internal/emul/emul_test.go
+++ b/internal/emul/emul_test.go
@@ -29,7 +29,7 @@
 	cases := []struct {
 		scenario string
 		// minOracleShare is the minimum of (Tally.Worth with policy weir) / (Tally.Worth with policy oracle). It is 0.95 if the runners can
-		// serve the load, and 0.9 in overload.
+		// serve the load, and 0.9 in overload. The oracle does not know how fast a runner works.
 		minOracleShare float64
 	}{
 		{"birligi", 0.95},
@@ -38,6 +38,8 @@
 		{"surge", 0.95},
 		{"hot-subject", 0.95},
 		{"overload", 0.9},
+		{"uneven", 0.95},
+		{"fast", 0.95},
 	}
 	for _, tc := range cases {
 		tt.Run(tc.scenario, func(tt *testing.T) {
--- a/internal/emul/runner.go
+++ b/internal/emul/runner.go
@@ -71,6 +71,9 @@
 	repeatedPrefillTokens int64
 	// prefilledParts holds the IDs of the shared parts that any runner has prefilled; all runners use the same map.
 	prefilledParts map[uint64]bool
+	// unevenness says how long work takes at the runner with the index.
+	unevenness Unevenness
+	index      int
 }
 
 func newRunner(config RunnerConfig, en *roster.Endpoint, cl *clock, prefilledParts map[uint64]bool) *runner {
@@ -137,7 +140,11 @@
 	if ru.prefilling != nil {
 		busy++
 	}
-	return place.Load{Running: busy, Waiting: len(ru.waiting), Slots: ru.config.Slots}
+	lo := place.Load{Running: busy, Waiting: len(ru.waiting), Slots: ru.config.Slots}
+	if ru.unevenness.Reported {
+		lo.WorkPercent = int(100 * ru.unevenness.factor(ru.index, ru.clock.now))
+	}
+	return lo
 }
 
 // wake starts the steps of an idle runner; it does nothing if the runner is not idle.
@@ -174,6 +181,7 @@
 		chunk = min(ru.config.PrefillChunk, ru.prefilling.remainingPrefill)
 		duration += time.Duration(float64(chunk) / ru.config.PrefillTokensPerMs * float64(time.Millisecond))
 	}
+	duration = time.Duration(float64(duration) * ru.unevenness.factor(ru.index, ru.clock.now))
 	ru.clock.at(ru.clock.now+duration, func() { ru.endStep(chunk) })
 }
 
--- a/internal/emul/scenario.go
+++ b/internal/emul/scenario.go
@@ -80,6 +80,8 @@
 	Brittleness Brittleness
 	// Cut is a time in which some instances reach no runner themselves.
 	Cut Cut
+	// Unevenness says how long work takes at each runner.
+	Unevenness Unevenness
 }
 
 // Runners and request classes of the two users' deployments, birligi and virtanen, after their growth. The lengths of shared prefixes are
@@ -141,7 +143,15 @@
 	cut.Cut = Cut{Instances: 1, From: 4 * time.Second, To: 16 * time.Second}
 	cutMost := withName(small, "cut-most", "three of four instances reach no runner for twelve seconds")
 	cutMost.Cut = Cut{Instances: 3, From: 4 * time.Second, To: 16 * time.Second}
-	return append(list, surge, overload, hot, limited, limitedAll, mixed, mixedSurge, brittle, brittleLarge, cut, cutMost)
+	uneven := withName(birligi, "uneven", "runners of uneven speed that are disturbed within a second, with 24 slots and 81.9 tokens per ms")
+	uneven.Runner.Slots, uneven.Runner.PrefillTokensPerMs, uneven.Classes = 24, 81.9, scaled(birligiClasses, 1.7)
+	uneven.Unevenness = Unevenness{Factors: []float64{1, 0.7, 1, 1.7, 1}, DisturbedShare: 0.15, Reported: true}
+	unevenSilent := withName(uneven, "uneven-silent", "the same without reports of how long work takes")
+	unevenSilent.Unevenness.Reported = false
+	fast := withName(uneven, "fast", "the same runners, undisturbed, with 16 slots and 157 tokens per ms")
+	fast.Runner.Slots, fast.Runner.PrefillTokensPerMs, fast.Classes = 16, 157, scaled(birligiClasses, 2.2)
+	fast.Unevenness.DisturbedShare = 0
+	return append(list, uneven, unevenSilent, fast, surge, overload, hot, limited, limitedAll, mixed, mixedSurge, brittle, brittleLarge, cut, cutMost)
 }
 
 // FindScenario returns the scenario with the given name.
--- a/internal/emul/simulation.go
+++ b/internal/emul/simulation.go
@@ -95,6 +95,7 @@
 	for ix := range sc.Runners {
 		en := &roster.Endpoint{ID: fmt.Sprint("runner-", ix), Service: "model", Domain: domainName(ix % sc.Domains), Slots: sc.Runner.Slots, Version: sc.versionOf(ix)}
 		ru := newRunner(sc.Runner, en, si.clock, prefilledParts)
+		ru.unevenness, ru.index = sc.Unevenness, ix
 		si.runners = append(si.runners, ru)
 		si.runnersByID[en.ID], si.runnerIndex[ru] = ru, ix
 	}
--- a/pkg/place/attempt.go
+++ b/pkg/place/attempt.go
@@ -17,6 +17,10 @@
 	// firstEventAt is the time of the first event, and workAtStart the work factor of the endpoint at startedAt.
 	firstEventAt time.Duration
 	workAtStart  float64
+	// lagAtStart is the lag of this instance at startedAt.
+	lagAtStart time.Duration
+	// measuresRate is true if the time to the first event measures the prefill rate of the endpoint.
+	measuresRate bool
 	// expectedUncached is the number of prompt tokens to prefill, as estimated when the endpoint was chosen.
 	expectedUncached int64
 	gotFirstEvent    bool
@@ -34,6 +38,7 @@
 	if st.running == 0 {
 		st.lastActivity.Store(int64(now))
 	}
+	measuresRate := st.measuresRate(now, se, rq, de)
 	st.takeRoom(now, se, &ba.fleet)
 	st.running++
 	ba.fleet.service(st.endpoint.Service).change(now, 1)
@@ -47,8 +52,8 @@
 	}
 	work := st.work.factor(now)
 	return &Attempt{
-		balancer: ba, state: st, request: rq, startedAt: now, workAtStart: work,
-		usualFirstEvent: time.Duration(float64(de.TimeToFirstEvent) / work), expectedUncached: de.UncachedTokens, epoch: ba.epoch,
+		balancer: ba, state: st, request: rq, startedAt: now, workAtStart: work, lagAtStart: ba.lag.at(now), measuresRate: measuresRate,
+		usualFirstEvent: st.work.shrink(work, de.TimeToFirstEvent), expectedUncached: de.UncachedTokens, epoch: ba.epoch,
 	}
 }
 
@@ -65,12 +70,15 @@
 	at.gotFirstEvent = true
 	at.firstEventAt = now
 	at.endPrefill()
-	at.state.recordTime(time.Duration(float64(at.usualFirstEvent)/at.state.slowness), at.usualTime(now, now-at.startedAt))
-}
-
-// usualTime returns how long a measured time that ends now would have taken if the work of the endpoint had taken the usual time.
-func (at *Attempt) usualTime(now, measured time.Duration) time.Duration {
-	return time.Duration(float64(measured) / ((at.workAtStart + at.state.work.factor(now)) / 2))
+	measured, ok := at.sample(now, at.startedAt)
+	if !ok {
+		return
+	}
+	usual := time.Duration(float64(at.usualFirstEvent) / at.state.slowness)
+	at.state.recordTime(usual, measured)
+	if at.measuresRate && usual > 0 {
+		at.balancer.recordRate(now, at.state, float64(measured)/float64(usual))
+	}
 }
 
 // endPrefill takes the uncached tokens of the request off the endpoint's backlog, unless ForgetLoad has; the caller holds the lock.
@@ -116,11 +124,7 @@
 	switch out {
 	case Answered:
 		st.circuit.End(now, false)
-		if at.request.Prompt == 0 {
-			st.recordLatency(at.usualTime(now, now-at.startedAt))
-		} else if at.gotFirstEvent {
-			st.service.recordHold(at.usualTime(now, now-at.firstEventAt))
-		}
+		at.recordDuration(now)
 	case Failed:
 		st.circuit.End(now, false)
 		st.recordFailure(now, 1)
@@ -138,6 +142,19 @@
 	}
 }
 
+// recordDuration records the duration of a complete response; the caller holds the lock.
+func (at *Attempt) recordDuration(now time.Duration) {
+	if at.request.Prompt == 0 {
+		if measured, ok := at.sample(now, at.startedAt); ok {
+			at.state.recordLatency(measured)
+		}
+		return
+	}
+	if measured, ok := at.sample(now, at.firstEventAt); ok && at.gotFirstEvent {
+		at.state.service.recordHold(time.Duration(float64(measured) / at.state.slowness))
+	}
+}
+
 // latencyWeight is the weight of the newest sample in the moving average of the latency of a plain service.
 const latencyWeight = 0.1
 
--- a/pkg/place/balancer.go
+++ b/pkg/place/balancer.go
@@ -15,8 +15,6 @@
 const (
 	// firstEventBase is the time to the first event of a request with an empty prompt at an idle endpoint.
 	firstEventBase = 8 * time.Millisecond
-	// prefillRate is the assumed prefill rate of an endpoint in tokens a millisecond; the measured slowness corrects it.
-	prefillRate = 60
 	// quadraticTime sets the quadratic part of the prefill time, which attention causes: uncached * prompt / 1e6 * quadraticTime. Here
 	// uncached and prompt are numbers of tokens.
 	quadraticTime = 250 * time.Microsecond
@@ -59,6 +57,8 @@
 	full    int
 	// estimates holds what is known of all endpoints of a service together, by service.
 	estimates map[string]*estimate
+	// lag is how late this instance itself runs.
+	lag lag
 	// epoch is the number of calls of ForgetLoad.
 	epoch int
 }
@@ -108,7 +108,8 @@
 	preferred := preferredEndpoint(ba.unlimited(list), rq)
 	holder := ba.prefixHolder(list, preferred, rq)
 	source := ba.copySource(now, se, holder, rq)
-	weight := prefillWeight(now, ba.candidates, rq)
+	es := ba.estimate(se.Name)
+	weight := prefillWeight(now, es, ba.candidates, rq)
 	best := Decision{Candidates: len(list), Withheld: len(ba.withheld), Reason: "least expected time"}
 	least := time.Duration(0)
 	for _, ca := range ba.candidates {
@@ -119,12 +120,12 @@
 		cached := st.cachedTokens(rq, en == holder)
 		var cp copyPlan
 		if en != holder {
-			cp = source.plan(se, cached)
+			cp = source.plan(es, se, cached)
 		}
 		uncached := rq.Prompt - cached - cp.tokens
 		toFirstEvent, queueTime := st.expect(now, se, rq, uncached)
 		toFirstEvent += cp.time
-		cost := toFirstEvent + time.Duration(st.recentFailures(now)*float64(failurePenalty)) + prefillPenalty(rq, uncached, weight) + cp.time
+		cost := toFirstEvent + time.Duration(st.recentFailures(now)*float64(failurePenalty)) + prefillPenalty(es, rq, uncached, weight) + cp.time
 		cost += inactivityFactor*st.inactivity(now) + jitter(rq, en)
 		cost += ba.leavingCost(now, se, rq, en)
 		if best.Endpoint == nil || cost < least {
@@ -206,7 +207,7 @@
 func (ba *Balancer) state(now time.Duration, en *roster.Endpoint, se *plan.Service) *state {
 	st, ok := ba.states[en.ID]
 	if !ok || !st.endpoint.SameProcess(*en) {
-		st = newState(*en, se.KVCapacityTokens, ba.estimate(en.Service))
+		st = newState(*en, se.KVCapacityTokens, ba.estimate(en.Service), &ba.lag)
 		st.rateLimit = ba.limits.heard[en.Process()]
 		delete(ba.limits.heard, en.Process())
 		ba.states[en.ID] = st
--- a/pkg/place/copy.go
+++ b/pkg/place/copy.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// minCopyTokens is the minimum number of tokens to copy; prefilling fewer tokens again takes no longer than copying them.
+	// minCopyTokens is the minimum number of tokens to copy.
 	minCopyTokens = 256
 	// copyOverhead is the fixed time of a copy, for the connection between the endpoints.
 	copyOverhead = 3 * time.Millisecond
@@ -62,11 +62,16 @@
 	return source{endpoint: holder, tokens: st.cachedTokens(rq, true)}
 }
 
-// plan returns the copy from the source to an endpoint; cached is the number of prompt tokens that this endpoint already has.
-func (so source) plan(se *plan.Service, cached int64) copyPlan {
+// plan returns the copy from the source to an endpoint; cached is the number of prompt tokens that this endpoint already has. Nothing is copied if the
+// endpoints of the service prefill the tokens in less time.
+func (so source) plan(es *estimate, se *plan.Service, cached int64) copyPlan {
 	tokens := so.tokens - cached
 	if so.endpoint == nil || tokens < minCopyTokens {
 		return copyPlan{}
 	}
-	return copyPlan{source: so.endpoint, tokens: tokens, time: copyOverhead + time.Duration(tokens)*time.Second/time.Duration(se.KVCopyRate)}
+	length := copyOverhead + time.Duration(tokens)*time.Second/time.Duration(se.KVCopyRate)
+	if length > es.prefillTime(tokens) {
+		return copyPlan{}
+	}
+	return copyPlan{source: so.endpoint, tokens: tokens, time: length}
 }
--- a/pkg/place/load.go
+++ b/pkg/place/load.go
@@ -20,7 +20,7 @@
 	maxWorkAge = 300 * time.Millisecond
 	// workSpan is the span over which reported durations of work are averaged. It is long against a disturbance, so that an endpoint that gets no requests
 	// and thus sends no reports after one is not avoided for good.
-	workSpan = 5 * time.Second
+	workSpan = 4 * time.Second
 	// minWork and maxWork bound the factor by which a reported duration of work changes the expected time.
 	minWork, maxWork = 0.2, 10
 	// queuedPromptTokens is the assumed number of uncached tokens of each request in an endpoint's queue.
@@ -31,6 +31,11 @@
 
 // estimate is what this instance has learned of all endpoints of a service together.
 type estimate struct {
+	// rate is the learned prefill rate of the median endpoint in tokens a millisecond, and correctedAt the time of its last correction.
+	rate        float64
+	correctedAt time.Duration
+	// ratios is used by correctRate.
+	ratios []float64
 	// hold is the moving average of the time from the first to the last event, zero before any was measured.
 	hold time.Duration
 }
@@ -39,7 +44,7 @@
 func (ba *Balancer) estimate(service string) *estimate {
 	es, ok := ba.estimates[service]
 	if !ok {
-		es = &estimate{}
+		es = &estimate{rate: initialPrefillRate}
 		ba.estimates[service] = es
 	}
 	return es
@@ -93,6 +98,29 @@
 	return wo.average + min(1, fresh)*(wo.newest-wo.average)
 }
 
+// stretch returns how long work takes that takes the given time usually, if it starts now. A report says nothing about the time after maxWorkAge, in which the
+// average is expected.
+func (wo *work) stretch(now, usual time.Duration) time.Duration {
+	if wo.average == 0 {
+		return usual
+	}
+	factor := wo.factor(now)
+	near := time.Duration(float64(maxWorkAge) / factor)
+	if usual <= near {
+		return time.Duration(float64(usual) * factor)
+	}
+	return maxWorkAge + time.Duration(float64(usual-near)*wo.average)
+}
+
+// shrink is the inverse of stretch: it returns how long work usually takes that has taken the measured time, if it started at the given factor.
+func (wo *work) shrink(factor float64, measured time.Duration) time.Duration {
+	if wo.average == 0 {
+		return measured
+	}
+	near := min(measured, maxWorkAge)
+	return time.Duration(float64(near)/factor + float64(measured-near)/wo.average)
+}
+
 // RecordLoad records the load that the endpoint reported with its response.
 func (at *Attempt) RecordLoad(now time.Duration, lo Load) {
 	at.balancer.mu.Lock()
@@ -117,7 +145,9 @@
 
 // backlog returns the number of prompt tokens that the endpoint must prefill before those of a new request.
 func (st *state) backlog(now time.Duration) int64 {
-	known := st.prefillBacklog + st.peerBacklog(now)
+	// A late instance has not read the first events of some requests yet.
+	read := int64(float64(st.lag.at(now)) / float64(time.Millisecond) * st.service.rate / st.slowness)
+	known := max(0, st.prefillBacklog-read) + st.peerBacklog(now)
 	if !st.hasLoad(now) {
 		return known
 	}
@@ -127,20 +157,19 @@
 // expect estimates the time until the first event of the response arrives or, for a plain service, the complete response. queueTime is how
 // much of this time the endpoint spends on the prompts of other requests. The parameter uncached is the number of prompt tokens to prefill.
 func (st *state) expect(now time.Duration, se *plan.Service, rq Request, uncached int64) (toFirstEvent, queueTime time.Duration) {
-	inFlight, work := st.inFlight(now), st.work.factor(now)
+	inFlight := st.inFlight(now)
 	if rq.Prompt == 0 {
-		return time.Duration(float64(st.expectLatency(inFlight)) * work), 0
+		return st.work.stretch(now, st.expectLatency(inFlight)), 0
 	}
 	slots := slotsOf(st, se)
-	queueTime = time.Duration(float64(st.backlog(now)) / prefillRate * float64(time.Millisecond))
-	prefill := time.Duration(float64(uncached) / prefillRate * float64(time.Millisecond))
-	prefill += time.Duration(float64(uncached) * float64(rq.Prompt) / 1e6 * float64(quadraticTime))
+	queueTime = st.service.prefillTime(st.backlog(now))
+	prefill := st.service.prefillTime(uncached) + attentionTime(uncached, rq.Prompt)
 	toFirstEvent = firstEventBase + queueTime + prefill + time.Duration(min(inFlight, slots))*perRequestTime
 	if over := inFlight + 1 - slots; over > 0 {
 		toFirstEvent += time.Duration(over) * st.service.slotTime(slots)
 	}
-	factor := st.slowness * work
-	return time.Duration(float64(toFirstEvent) * factor), time.Duration(float64(queueTime) * factor)
+	toFirstEvent, queueTime = time.Duration(float64(toFirstEvent)*st.slowness), time.Duration(float64(queueTime)*st.slowness)
+	return st.work.stretch(now, toFirstEvent), st.work.stretch(now, queueTime)
 }
 
 // expectLatency returns the expected latency of a plain service with the given number of requests in flight. The result is
--- a/pkg/place/peers.go
+++ b/pkg/place/peers.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// maxPeerBacklog bounds the estimated prefill backlog, in tokens, of the requests that peers sent to one endpoint. At prefillRate this many
+// maxPeerBacklog bounds the estimated prefill backlog, in tokens, of the requests that peers sent to one endpoint. At initialPrefillRate this many
 // tokens are prefilled in about eight seconds.
 const maxPeerBacklog = 500_000
 
@@ -23,8 +23,8 @@
 }
 
 // peerBacklog estimates the number of uncached prompt tokens from peers that the endpoint has not prefilled yet. It assumes that the
-// endpoint prefills at prefillRate, divided by its slowness.
+// endpoint prefills at the rate of its service, divided by its slowness.
 func (st *state) peerBacklog(now time.Duration) int64 {
-	prefilled := float64(now-st.peerTokensAt) / float64(time.Millisecond) * prefillRate / st.slowness
+	prefilled := float64(now-st.peerTokensAt) / float64(time.Millisecond) * st.service.rate / st.slowness
 	return int64(max(0, st.peerTokens-prefilled))
 }
--- a/pkg/place/peers_test.go
+++ b/pkg/place/peers_test.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		waits = append(waits, max(0, freeAt[de.Endpoint.ID]-now))
-		prefill := time.Duration(float64(de.UncachedTokens) / prefillRate * float64(time.Millisecond))
+		prefill := time.Duration(float64(de.UncachedTokens) / initialPrefillRate * float64(time.Millisecond))
 		freeAt[de.Endpoint.ID] = max(now, freeAt[de.Endpoint.ID]) + prefill
 		open = append(open, openAttempt{firstEventAt: freeAt[de.Endpoint.ID], attempt: balancers[origin].Begin(now, se, rq, de)})
 		for ix, ba := range balancers {
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -15,8 +15,8 @@
 	failureHalfLife = 4 * time.Second
 	// slownessWeight is the weight of the newest sample in state.slowness, a moving average.
 	slownessWeight = 0.2
-	// maxSlowness bounds a single sample of state.slowness.
-	maxSlowness = 20
+	// minSlowness bounds state.slowness, and maxSlowness a single sample of it.
+	minSlowness, maxSlowness = 0.3, 20
 	// usualInactivity is the time without data from an endpoint, while requests are in flight there, that is not penalized. The prefill of a
 	// long prompt takes about as long.
 	usualInactivity = 400 * time.Millisecond
@@ -42,6 +42,10 @@
 	// slowness is the moving average of the ratio of measured to expected times to the first event, where the expected times contain what the endpoint
 	// said of its work (see workFactor), so that this is not counted twice.
 	slowness float64
+	// prefillRatio is the moving average of the logarithm of the same ratio for the requests that measure the prefill rate; rateMeasured is true after the
+	// first of them.
+	prefillRatio float64
+	rateMeasured bool
 	// latency is the moving average of the latency of a plain service.
 	latency time.Duration
 	// load is the newest load that the endpoint reported, received at loadAt.
@@ -51,6 +55,8 @@
 	work work
 	// service is what is known of all endpoints of the service together.
 	service *estimate
+	// lag is how late this instance itself runs.
+	lag *lag
 	// lastActivity is the time at which the endpoint last sent data to this instance. If no request of this instance is in flight, the next
 	// one sets it to its start.
 	lastActivity atomic.Int64
@@ -72,20 +78,20 @@
 }
 
 // newState returns the state of a process that has no requests yet; capacity is the size of its KV memory in tokens, zero if unknown.
-func newState(en roster.Endpoint, capacity int64, service *estimate) *state {
+func newState(en roster.Endpoint, capacity int64, service *estimate, la *lag) *state {
 	if capacity <= 0 {
 		capacity = defaultKVCapacity
 	}
-	return &state{endpoint: en, cache: newCache(int64(float64(capacity) * cacheShare)), slowness: 1, service: service}
+	return &state{endpoint: en, cache: newCache(int64(float64(capacity) * cacheShare)), slowness: 1, service: service, lag: la}
 }
 
-// inactivity returns the time since the endpoint last sent data to this instance, less usualInactivity, but at least zero. It is also zero
+// inactivity returns the time since the endpoint last sent data to this instance, less usualInactivity and the lag of this instance, but at least zero. It is also zero
 // if no request of this instance is in flight there.
 func (st *state) inactivity(now time.Duration) time.Duration {
 	if st.running == 0 {
 		return 0
 	}
-	return max(0, now-time.Duration(st.lastActivity.Load())-usualInactivity)
+	return max(0, now-time.Duration(st.lastActivity.Load())-usualInactivity-st.lag.at(now))
 }
 
 func (st *state) recordFailure(now time.Duration, weight float64) {
@@ -106,5 +112,5 @@
 		return
 	}
 	sample := min(float64(measured)/float64(expected), maxSlowness)
-	st.slowness = max(0.3, st.slowness*(1-slownessWeight)+sample*slownessWeight)
+	st.slowness = max(minSlowness, st.slowness*(1-slownessWeight)+sample*slownessWeight)
 }
