Place: a decision among 1,000 endpoints examines a sample

Cause: each decision hashed the ID of each endpoint twice and looked up its state by ID. Change: an index of each list of endpoints keeps states, hashes and failure domains.

--- a/pkg/place/balancer.go
+++ b/pkg/place/balancer.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/clementineweir/clementineweir/pkg/plan"
 	"github.com/clementineweir/clementineweir/pkg/roster"
 )
@@ -59,6 +57,9 @@
 	estimates map[string]*estimate
 	// lag is how late this instance itself runs.
 	lag lag
+	// indexes are kept indexes of lists of endpoints, and latest the one of the last list without one.
+	indexes []*index
+	latest  *index
 	// epoch is the number of calls of ForgetLoad.
 	epoch int
 }
@@ -67,6 +68,8 @@
 type candidate struct {
 	endpoint *roster.Endpoint
 	state    *state
+	// position is the position of the endpoint in its list.
+	position int
 }
 
 // NewBalancer returns a balancer that knows nothing of any endpoint.
@@ -82,9 +85,16 @@
 	if len(list) == 0 {
 		return Decision{Reason: "no endpoint is registered", RetryAfter: maxRetryAfter / 2}
 	}
-	de := ba.pickFrom(now, se, list, rq, false)
-	if de.Endpoint == nil {
-		de = ba.pickFrom(now, se, list, rq, true)
+	de, ok := Decision{}, false
+	ix := ba.index(now, se, list)
+	if len(ix.shuffled) > 0 {
+		de, ok = ba.pickSampled(now, se, ix, &rq)
+	}
+	if !ok {
+		de = ba.pickFrom(now, se, ix, &rq, false)
+		if de.Endpoint == nil {
+			de = ba.pickFrom(now, se, ix, &rq, true)
+		}
 	}
 	ba.askForPermit(now)
 	if de.Endpoint == nil && len(ba.withheld) > 0 {
@@ -102,32 +112,53 @@
 	return ba.takePermit(now, refuseLate(rq, de))
 }
 
+// pickSampled chooses one of a sample of a long list. It returns false if all endpoints must be examined: because some have rate limits or are brittle, because
+// no endpoint of the sample can get the request, or because none is expected to answer in time and the whole list was not examined recently.
+func (ba *Balancer) pickSampled(now time.Duration, se *plan.Service, ix *index, rq *Request) (Decision, bool) {
+	preferred := ix.preferredEndpoint(rq, false)
+	holder := ba.prefixHolder(ix, preferred, rq)
+	ba.collect(now, se, ix.sample(preferred, holder, rq.Domain), len(ix.list), rq, false)
+	if ba.limited > 0 || ba.full > 0 {
+		return Decision{}, false
+	}
+	de := ba.leastCost(now, se, ix, holder, rq, false)
+	late := de.Endpoint != nil && refuseLate(*rq, de).Endpoint == nil
+	return de, de.Endpoint != nil && (!late || (ix.scannedAt > 0 && now-ix.scannedAt < scanInterval))
+}
+
 // pickFrom chooses the endpoint with the lowest expected cost; with anyCircuit it also considers those whose circuit breaker is open.
-func (ba *Balancer) pickFrom(now time.Duration, se *plan.Service, list []*roster.Endpoint, rq Request, anyCircuit bool) Decision {
-	ba.collect(now, se, list, rq, anyCircuit)
-	preferred := preferredEndpoint(ba.unlimited(list), rq)
-	holder := ba.prefixHolder(list, preferred, rq)
+func (ba *Balancer) pickFrom(now time.Duration, se *plan.Service, ix *index, rq *Request, anyCircuit bool) Decision {
+	ix.scannedAt = now
+	ba.collect(now, se, ix.entries, len(ix.list), rq, anyCircuit)
+	preferred := ix.preferredEndpoint(rq, ba.limited > 0 && ba.limited < len(ix.list))
+	return ba.leastCost(now, se, ix, ba.prefixHolder(ix, preferred, rq), rq, anyCircuit)
+}
+
+// leastCost chooses the collected candidate with the lowest expected cost.
+func (ba *Balancer) leastCost(now time.Duration, se *plan.Service, ix *index, holder *candidate, rq *Request, anyCircuit bool) Decision {
 	source := ba.copySource(now, se, holder, rq)
 	es := ba.estimate(se.Name)
 	weight := prefillWeight(now, es, ba.candidates, rq)
-	best := Decision{Candidates: len(list), Withheld: len(ba.withheld), Reason: "least expected time"}
+	best := Decision{Candidates: len(ix.list), Withheld: len(ba.withheld), Reason: "least expected time"}
 	least := time.Duration(0)
+	ix.best.count = 0
 	for _, ca := range ba.candidates {
 		en, st := ca.endpoint, ca.state
 		if slices.Contains(rq.Tried, en.ID) || (!anyCircuit && !st.circuit.Allows(now)) {
 			continue
 		}
-		cached := st.cachedTokens(rq, en == holder)
+		held := holder != nil && st == holder.state
+		cached := st.cachedTokens(rq, held)
 		var cp copyPlan
-		if en != holder {
+		if !held {
 			cp = source.plan(es, se, cached)
 		}
 		uncached := rq.Prompt - cached - cp.tokens
 		toFirstEvent, queueTime := st.expect(now, se, rq, uncached)
 		toFirstEvent += cp.time
 		cost := toFirstEvent + time.Duration(st.recentFailures(now)*float64(failurePenalty)) + prefillPenalty(es, rq, uncached, weight) + cp.time
-		cost += inactivityFactor*st.inactivity(now) + jitter(rq, en)
-		cost += ba.leavingCost(now, se, rq, en)
+		cost += inactivityFactor*st.inactivity(now) + jitter(rq, st) + ba.leavingCost(now, se, rq, en)
+		ix.best.add(ca.position, cost)
 		if best.Endpoint == nil || cost < least {
 			best.Endpoint, best.TimeToFirstEvent, best.QueueTime, best.UncachedTokens, least = en, toFirstEvent, queueTime, uncached, cost
 			best.Source, best.CopyTokens = cp.source, cp.tokens
@@ -137,7 +168,7 @@
 }
 
 // leavingCost returns the cost of sending the request to the endpoint for the round trip and the transfer, if that is in another failure domain.
-func (ba *Balancer) leavingCost(_ time.Duration, _ *plan.Service, rq Request, en *roster.Endpoint) time.Duration {
+func (ba *Balancer) leavingCost(_ time.Duration, _ *plan.Service, rq *Request, en *roster.Endpoint) time.Duration {
 	if en.Domain == rq.Domain {
 		return 0
 	}
@@ -146,7 +177,7 @@
 
 // cachedTokens returns the number of prompt tokens that the endpoint is expected to have cached; holder is true if the endpoint is the one
 // returned by prefixHolder.
-func (st *state) cachedTokens(rq Request, holder bool) int64 {
+func (st *state) cachedTokens(rq *Request, holder bool) int64 {
 	if rq.Prompt == 0 {
 		return 0
 	}
@@ -165,34 +196,13 @@
 	return max(1, se.Slots)
 }
 
-// preferredEndpoint returns the endpoint that all instances prefer for requests with the same shared prefix, by rendezvous hashing. A
-// prefix shorter than localPrefixTokens has one preferred endpoint in each failure domain. Without a shared prefix, the result is nil.
-func preferredEndpoint(list []*roster.Endpoint, rq Request) *roster.Endpoint {
-	if len(rq.Parts) < 2 {
-		return nil
-	}
-	prefix := rq.Parts[len(rq.Parts)-2].ID
-	shared := rq.sharedTokens()
-	var best *roster.Endpoint
-	var highest uint64
-	for _, en := range list {
-		if shared < localPrefixTokens && en.Domain != rq.Domain {
-			continue
-		}
-		if weight := mix(xxhash.Sum64String(en.ID) ^ prefix); best == nil || weight > highest {
-			best, highest = en, weight
-		}
-	}
-	return best
-}
-
 // jitter returns a pseudo-random addition to the cost of an endpoint for a request, so that endpoints of equal cost are chosen equally
 // often.
-func jitter(rq Request, en *roster.Endpoint) time.Duration {
+func jitter(rq *Request, st *state) time.Duration {
 	if len(rq.Parts) == 0 {
 		return 0
 	}
-	return time.Duration(mix(xxhash.Sum64String(en.ID)^rq.Parts[len(rq.Parts)-1].ID) % uint64(maxJitter))
+	return time.Duration(mix(st.hash^rq.Parts[len(rq.Parts)-1].ID) % uint64(maxJitter))
 }
 
 // mix is the finalizer of MurmurHash3, which spreads the entropy of a hash over all its bits.
@@ -207,12 +217,15 @@
 func (ba *Balancer) state(now time.Duration, en *roster.Endpoint, se *plan.Service) *state {
 	st, ok := ba.states[en.ID]
 	if !ok || !st.endpoint.SameProcess(*en) {
+		if ok {
+			ba.dropIndexes()
+		}
 		st = newState(*en, se.KVCapacityTokens, ba.estimate(en.Service), &ba.lag)
 		st.rateLimit = ba.limits.heard[en.Process()]
 		delete(ba.limits.heard, en.Process())
 		ba.states[en.ID] = st
 	}
-	st.brittle.Brittleness = ba.brittleness(now, en.Service, &st.brittle)
+	ba.updateBrittleness(now, st)
 	return st
 }
 
@@ -224,6 +237,7 @@
 	for id, st := range ba.states {
 		if st.running == 0 && !st.refuses(now) && !known(id) {
 			delete(ba.states, id)
+			ba.dropIndexes()
 		}
 	}
 }
--- a/pkg/place/balancer_test.go
+++ b/pkg/place/balancer_test.go
@@ -132,7 +132,8 @@
 		bb.Run(fmt.Sprint("endpoints=", count), func(bb *testing.B) {
 			ba, list, rq := NewBalancer(), endpoints(count), longRequest(7, 1)
 			bb.ReportAllocs()
-			for bb.Loop() {
+			for number := uint64(0); bb.Loop(); number++ {
+				rq.Parts[1].ID = 100 + number%500
 				ba.Pick(time.Second, model, list, rq)
 			}
 		})
--- a/pkg/place/brittle.go
+++ b/pkg/place/brittle.go
@@ -78,6 +78,15 @@
 	return bs.Brittleness
 }
 
+// updateBrittleness updates what is known of an endpoint's brittleness.
+func (ba *Balancer) updateBrittleness(now time.Duration, st *state) {
+	if len(ba.brittle) == 0 {
+		st.brittle.Brittleness = st.brittle.stated
+		return
+	}
+	st.brittle.Brittleness = ba.brittleness(now, st.endpoint.Service, &st.brittle)
+}
+
 // room is the kind of room that an endpoint has for a request.
 type room uint8
 
--- a/pkg/place/copy.go
+++ b/pkg/place/copy.go
@@ -34,14 +34,14 @@
 
 // prefixHolder returns the endpoint that is assumed to have the request's shared prefix cached: the endpoint to which the prefix was last
 // sent, if this instance knows it, otherwise the preferred endpoint.
-func (ba *Balancer) prefixHolder(list []*roster.Endpoint, preferred *roster.Endpoint, rq Request) *roster.Endpoint {
+func (ba *Balancer) prefixHolder(ix *index, preferred *candidate, rq *Request) *candidate {
 	id, ok := ba.locations.find(rq.PrefixID())
-	if preferred == nil || !ok || id == preferred.ID {
+	if preferred == nil || !ok || id == preferred.endpoint.ID {
 		return preferred
 	}
-	for _, en := range list {
-		if en.ID == id {
-			return en
+	if st, ok := ba.states[id]; ok {
+		if ca := ix.find(st); ca != nil {
+			return ca
 		}
 	}
 	return preferred
@@ -51,15 +51,15 @@
 // unhealthy or the endpoints of the service cannot copy.
 //
 // When many requests share one prefix and its holder is busy, some run on other endpoints, which copy the prefix instead of prefilling it.
-func (ba *Balancer) copySource(now time.Duration, se *plan.Service, holder *roster.Endpoint, rq Request) source {
+func (ba *Balancer) copySource(now time.Duration, se *plan.Service, holder *candidate, rq *Request) source {
 	if holder == nil || se.KVCopyRate <= 0 {
 		return source{}
 	}
-	st := ba.state(now, holder, se)
+	st := holder.state
 	if !st.circuit.Allows(now) || st.recentFailures(now) > maxSourceFailures || st.inactivity(now) > 0 {
 		return source{}
 	}
-	return source{endpoint: holder, tokens: st.cachedTokens(rq, true)}
+	return source{endpoint: holder.endpoint, tokens: st.cachedTokens(rq, true)}
 }
 
 // plan returns the copy from the source to an endpoint; cached is the number of prompt tokens that this endpoint already has. Nothing is copied if the
--- a/pkg/place/load.go
+++ b/pkg/place/load.go
@@ -156,7 +156,7 @@
 
 // expect estimates the time until the first event of the response arrives or, for a plain service, the complete response. queueTime is how
 // much of this time the endpoint spends on the prompts of other requests. The parameter uncached is the number of prompt tokens to prefill.
-func (st *state) expect(now time.Duration, se *plan.Service, rq Request, uncached int64) (toFirstEvent, queueTime time.Duration) {
+func (st *state) expect(now time.Duration, se *plan.Service, rq *Request, uncached int64) (toFirstEvent, queueTime time.Duration) {
 	inFlight := st.inFlight(now)
 	if rq.Prompt == 0 {
 		return st.work.stretch(now, st.expectLatency(inFlight)), 0
--- a/pkg/place/prefill.go
+++ b/pkg/place/prefill.go
@@ -18,7 +18,7 @@
 //
 // The weight grows with the queues. When prompts wait at all endpoints, each token that is prefilled twice delays all of them. A request
 // should then wait at the endpoint that has its prefix cached, rather than be prefilled at one that is slightly less busy.
-func prefillWeight(now time.Duration, es *estimate, candidates []candidate, rq Request) float64 {
+func prefillWeight(now time.Duration, es *estimate, candidates []candidate, rq *Request) float64 {
 	if rq.sharedTokens() == 0 {
 		return prefillFactor
 	}
@@ -34,7 +34,7 @@
 
 // prefillPenalty returns the cost of prefilling a shared prefix again, less the prefill time itself, which is part of the expected time to
 // the first event. The parameter weight is the result of prefillWeight.
-func prefillPenalty(es *estimate, rq Request, uncached int64, weight float64) time.Duration {
+func prefillPenalty(es *estimate, rq *Request, uncached int64, weight float64) time.Duration {
 	if len(rq.Parts) < 2 {
 		return 0
 	}
--- a/pkg/place/ratelimit.go
+++ b/pkg/place/ratelimit.go
@@ -7,7 +7,6 @@
 
 	"github.com/clementineweir/clementineweir/pkg/limit"
 	"github.com/clementineweir/clementineweir/pkg/plan"
-	"github.com/clementineweir/clementineweir/pkg/roster"
 )
 
 const (
@@ -40,13 +39,14 @@
 	ba.fleet.instances = max(1, count)
 }
 
-// collect sorts the endpoints of a decision into candidates and withheld ones.
-func (ba *Balancer) collect(now time.Duration, se *plan.Service, list []*roster.Endpoint, rq Request, anyCircuit bool) {
+// collect sorts entries of a list of the given length into candidates and withheld ones.
+func (ba *Balancer) collect(now time.Duration, se *plan.Service, entries []candidate, length int, rq *Request, anyCircuit bool) {
 	ba.candidates, ba.withheld, ba.limited = ba.candidates[:0], ba.withheld[:0], 0
 	ba.full, ba.unwilling = 0, ba.unwilling[:0]
-	ba.fleet.service(se.Name).endpoints = len(list)
-	for _, en := range list {
-		st := ba.state(now, en, se)
+	ba.fleet.service(se.Name).endpoints = length
+	for _, ca := range entries {
+		st := ca.state
+		ba.updateBrittleness(now, st)
 		if st.rateLimit.Limited {
 			ba.limited++
 		}
@@ -56,22 +56,13 @@
 		case st.room(now, se, &ba.fleet) == noRoom:
 			ba.full++
 		case !st.rateLimit.Limited || st.permits.Usable(now):
-			ba.candidates = append(ba.candidates, candidate{endpoint: en, state: st})
-		case !slices.Contains(rq.Tried, en.ID) && (anyCircuit || st.circuit.Allows(now)):
+			ba.candidates = append(ba.candidates, ca)
+		case !slices.Contains(rq.Tried, ca.endpoint.ID) && (anyCircuit || st.circuit.Allows(now)):
 			ba.withheld = append(ba.withheld, st)
 		}
 	}
 }
 
-// unlimited returns the endpoints of the collected list without a rate limit, or the whole list if all have one. Only to them may requests with the same
-// prefix be directed.
-func (ba *Balancer) unlimited(list []*roster.Endpoint) []*roster.Endpoint {
-	if ba.limited == 0 || ba.limited == len(list) {
-		return list
-	}
-	return slices.DeleteFunc(slices.Clone(list), func(en *roster.Endpoint) bool { return ba.states[en.ID].rateLimit.Limited })
-}
-
 // askForPermit queues an ask for a permit of the withheld endpoint with the fewest requests of this instance, so that a later request can be sent
 // there. Each request causes one ask at most.
 func (ba *Balancer) askForPermit(now time.Duration) {
--- a/pkg/place/ratelimit_test.go
+++ b/pkg/place/ratelimit_test.go
@@ -19,7 +19,8 @@
 func TestLimitedEndpointNeedsPermit(tt *testing.T) {
 	ba, list := NewBalancer(), endpoints(3)
 	now := time.Second
-	limited := preferredEndpoint(list, longRequest(100, 1))
+	rq := longRequest(100, 1)
+	limited := NewBalancer().index(now, model, list).preferredEndpoint(&rq, false).endpoint
 	nameLimit(ba, now, limited.Process(), 2)
 	pick := func(number int) Decision {
 		de := ba.Pick(now, model, list, longRequest(100, number))
--- a/pkg/place/request.go
+++ b/pkg/place/request.go
@@ -39,7 +39,7 @@
 }
 
 // sharedTokens returns the number of tokens in the shared prefix, which is all but the last part of the prompt.
-func (rq Request) sharedTokens() int64 {
+func (rq *Request) sharedTokens() int64 {
 	if len(rq.Parts) < 2 {
 		return 0
 	}
@@ -48,7 +48,7 @@
 
 // PrefixID returns the ID of the last part of the shared prefix, which stands for the whole prefix. It returns zero if the prefix is shorter
 // than localPrefixTokens. Instances notify each other of the endpoints to which they sent a prefix.
-func (rq Request) PrefixID() uint64 {
+func (rq *Request) PrefixID() uint64 {
 	if rq.sharedTokens() < localPrefixTokens {
 		return 0
 	}
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/clementineweir/clementineweir/pkg/limit"
 	"github.com/clementineweir/clementineweir/pkg/roster"
 	"github.com/clementineweir/clementineweir/pkg/route"
@@ -29,7 +31,9 @@
 // state is what this instance knows of one process of an endpoint.
 type state struct {
 	endpoint roster.Endpoint
-	circuit  route.Circuit
+	// hash is the hash of the endpoint's ID.
+	hash    uint64
+	circuit route.Circuit
 	// running is the number of this instance's requests in flight at the endpoint.
 	running int
 	// prefillBacklog is the sum of the uncached prompt tokens of those requests of this instance that wait for their first event.
@@ -82,7 +86,7 @@
 	if capacity <= 0 {
 		capacity = defaultKVCapacity
 	}
-	return &state{endpoint: en, cache: newCache(int64(float64(capacity) * cacheShare)), slowness: 1, service: service, lag: la}
+	return &state{endpoint: en, hash: xxhash.Sum64String(en.ID), cache: newCache(int64(float64(capacity) * cacheShare)), slowness: 1, service: service, lag: la}
 }
 
 // inactivity returns the time since the endpoint last sent data to this instance, less usualInactivity and the lag of this instance, but at least zero. It is also zero
