--- a/pkg/place/attempt.go
+++ b/pkg/place/attempt.go
@@ -12,8 +12,15 @@
 	state     *state
 	request   Request
 	startedAt time.Duration
-	// expectedFirstEvent is the time to the first event, as estimated when the endpoint was chosen.
-	expectedFirstEvent time.Duration
+	// usualFirstEvent is the time to the first event that was expected when the endpoint was chosen, without the work factor.
+	usualFirstEvent time.Duration
+	// firstEventAt is the time of the first event, and workAtStart the work factor of the endpoint at startedAt.
+	firstEventAt time.Duration
+	workAtStart  float64
+	// lagAtStart is the lag of this instance at startedAt.
+	lagAtStart time.Duration
+	// measuresRate is true if the time to the first event measures the prefill rate of the endpoint.
+	measuresRate bool
 	// expectedUncached is the number of prompt tokens to prefill, as estimated when the endpoint was chosen.
 	expectedUncached int64
 	gotFirstEvent    bool
@@ -31,6 +38,7 @@
 	if st.running == 0 {
 		st.lastActivity.Store(int64(now))
 	}
+	measuresRate := st.measuresRate(now, se, rq, de)
 	st.takeRoom(now, se, &ba.fleet)
 	st.running++
 	ba.fleet.service(st.endpoint.Service).change(now, 1)
@@ -42,24 +50,16 @@
 		// Requests with the same prefix could not follow to an endpoint with a rate limit.
 		ba.locations.record(rq.PrefixID(), de.Endpoint.ID)
 	}
+	work := st.work.factor(now)
 	return &Attempt{
-		balancer: ba, state: st, request: rq, startedAt: now,
-		expectedFirstEvent: de.TimeToFirstEvent, expectedUncached: de.UncachedTokens, epoch: ba.epoch,
+		balancer: ba, state: st, request: rq, startedAt: now, workAtStart: work, lagAtStart: ba.lag.at(now), measuresRate: measuresRate,
+		usualFirstEvent: st.work.shrink(work, de.TimeToFirstEvent), expectedUncached: de.UncachedTokens, epoch: ba.epoch,
 	}
 }
 
 // RecordActivity records that the endpoint sent data for the attempt.
 func (at *Attempt) RecordActivity(now time.Duration) { at.state.lastActivity.Store(int64(now)) }
 
-// RecordLoad records the load that the endpoint reported with its response.
-func (at *Attempt) RecordLoad(now time.Duration, lo Load) {
-	at.balancer.mu.Lock()
-	defer at.balancer.mu.Unlock()
-	at.state.load = lo
-	at.state.loadAt = now
-	at.state.runningAtLoad = at.state.running
-}
-
 // RecordFirstEvent is called at the first event of a stream; further calls have no effect.
 func (at *Attempt) RecordFirstEvent(now time.Duration) {
 	at.balancer.mu.Lock()
@@ -68,9 +68,16 @@
 		return
 	}
 	at.gotFirstEvent = true
+	at.firstEventAt = now
 	at.endPrefill()
-	if at.state.slowness > 0 {
-		at.state.recordTime(time.Duration(float64(at.expectedFirstEvent)/at.state.slowness), now-at.startedAt)
+	measured, ok := at.sample(now, at.startedAt)
+	if !ok {
+		return
+	}
+	usual := time.Duration(float64(at.usualFirstEvent) / at.state.slowness)
+	at.state.recordTime(usual, measured)
+	if at.measuresRate && usual > 0 {
+		at.balancer.recordRate(now, at.state, float64(measured)/float64(usual))
 	}
 }
 
@@ -117,9 +124,7 @@
 	switch out {
 	case Answered:
 		st.circuit.End(now, false)
-		if at.request.Prompt == 0 {
-			st.recordLatency(now - at.startedAt)
-		}
+		at.recordDuration(now)
 	case Failed:
 		st.circuit.End(now, false)
 		st.recordFailure(now, 1)
@@ -137,6 +142,19 @@
 	}
 }
 
+// recordDuration records the duration of a complete response; the caller holds the lock.
+func (at *Attempt) recordDuration(now time.Duration) {
+	if at.request.Prompt == 0 {
+		if measured, ok := at.sample(now, at.startedAt); ok {
+			at.state.recordLatency(measured)
+		}
+		return
+	}
+	if measured, ok := at.sample(now, at.firstEventAt); ok && at.gotFirstEvent {
+		at.state.service.recordHold(time.Duration(float64(measured) / at.state.slowness))
+	}
+}
+
 // latencyWeight is the weight of the newest sample in the moving average of the latency of a plain service.
 const latencyWeight = 0.1
 
--- a/pkg/place/balancer.go
+++ b/pkg/place/balancer.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/clementineweir/clementineweir/pkg/plan"
 	"github.com/clementineweir/clementineweir/pkg/roster"
 )
@@ -15,16 +13,9 @@
 const (
 	// firstEventBase is the time to the first event of a request with an empty prompt at an idle endpoint.
 	firstEventBase = 8 * time.Millisecond
-	// prefillRate is the assumed prefill rate of an endpoint in tokens a millisecond; the measured slowness corrects it.
-	prefillRate = 60
 	// quadraticTime sets the quadratic part of the prefill time, which attention causes: uncached * prompt / 1e6 * quadraticTime. Here
 	// uncached and prompt are numbers of tokens.
 	quadraticTime = 250 * time.Microsecond
-	// defaultLatency is the expected latency of a plain service before any was measured. For a request to a model, each request beyond the
-	// endpoint's slots adds defaultLatency to the expected time to the first event.
-	defaultLatency = 20 * time.Millisecond
-	// perRequestTime is added to the expected time to the first event for each request in flight at the endpoint.
-	perRequestTime = 400 * time.Microsecond
 	// crossDomainTime is added to the cost of an endpoint in another failure domain, for the round trip and the transfer.
 	crossDomainTime = 5 * time.Millisecond
 	// failurePenalty is added to the cost of an endpoint for each recent failure.
@@ -40,8 +31,6 @@
 	// localPrefixTokens is the minimum size of a shared prefix for which the preferred endpoint can be in another failure domain. Prefilling a
 	// shorter prefix once more in each domain costs less than sending requests to another domain.
 	localPrefixTokens = 600
-	// queuedPromptTokens is the assumed number of uncached tokens of each request in an endpoint's queue.
-	queuedPromptTokens = 1500
 )
 
 // Balancer chooses endpoints by their load and their cached prefixes, as far as this instance knows them; it is safe for concurrent use.
@@ -64,6 +53,13 @@
 	// no room.
 	brittle map[string]brittleService
 	full    int
+	// estimates holds what is known of all endpoints of a service together, by service.
+	estimates map[string]*estimate
+	// lag is how late this instance itself runs.
+	lag lag
+	// indexes are kept indexes of lists of endpoints, and latest the one of the last list without one.
+	indexes []*index
+	latest  *index
 	// epoch is the number of calls of ForgetLoad.
 	epoch int
 }
@@ -72,11 +68,13 @@
 type candidate struct {
 	endpoint *roster.Endpoint
 	state    *state
+	// position is the position of the endpoint in its list.
+	position int
 }
 
 // NewBalancer returns a balancer that knows nothing of any endpoint.
 func NewBalancer() *Balancer {
-	return &Balancer{states: map[string]*state{}, limits: newRateLimits(), fleet: fleet{instances: 1, random: newRandom(""), usage: map[string]*usage{}}, brittle: map[string]brittleService{}}
+	return &Balancer{states: map[string]*state{}, limits: newRateLimits(), fleet: fleet{instances: 1, random: newRandom(""), usage: map[string]*usage{}}, brittle: map[string]brittleService{}, estimates: map[string]*estimate{}}
 }
 
 // Pick chooses one of the listed endpoints of a service for a request. It refuses the request if all endpoints were tried, or if no
@@ -87,9 +85,16 @@
 	if len(list) == 0 {
 		return Decision{Reason: "no endpoint is registered", RetryAfter: maxRetryAfter / 2}
 	}
-	de := ba.pickFrom(now, se, list, rq, false)
-	if de.Endpoint == nil {
-		de = ba.pickFrom(now, se, list, rq, true)
+	de, ok := Decision{}, false
+	ix := ba.index(now, se, list)
+	if len(ix.shuffled) > 0 {
+		de, ok = ba.pickSampled(now, se, ix, &rq)
+	}
+	if !ok {
+		de = ba.pickFrom(now, se, ix, &rq, false)
+		if de.Endpoint == nil {
+			de = ba.pickFrom(now, se, ix, &rq, true)
+		}
 	}
 	ba.askForPermit(now)
 	if de.Endpoint == nil && len(ba.withheld) > 0 {
@@ -107,33 +112,53 @@
 	return ba.takePermit(now, refuseLate(rq, de))
 }
 
+// pickSampled chooses one of a sample of a long list. It returns false if all endpoints must be examined: because some have rate limits or are brittle, because
+// no endpoint of the sample can get the request, or because none is expected to answer in time and the whole list was not examined recently.
+func (ba *Balancer) pickSampled(now time.Duration, se *plan.Service, ix *index, rq *Request) (Decision, bool) {
+	preferred := ix.preferredEndpoint(rq, false)
+	holder := ba.prefixHolder(ix, preferred, rq)
+	ba.collect(now, se, ix.sample(preferred, holder, rq.Domain), len(ix.list), rq, false)
+	if ba.limited > 0 || ba.full > 0 {
+		return Decision{}, false
+	}
+	de := ba.leastCost(now, se, ix, holder, rq, false)
+	late := de.Endpoint != nil && refuseLate(*rq, de).Endpoint == nil
+	return de, de.Endpoint != nil && (!late || (ix.scannedAt > 0 && now-ix.scannedAt < scanInterval))
+}
+
 // pickFrom chooses the endpoint with the lowest expected cost; with anyCircuit it also considers those whose circuit breaker is open.
-func (ba *Balancer) pickFrom(now time.Duration, se *plan.Service, list []*roster.Endpoint, rq Request, anyCircuit bool) Decision {
-	ba.collect(now, se, list, rq, anyCircuit)
-	preferred := preferredEndpoint(ba.unlimited(list), rq)
-	holder := ba.prefixHolder(list, preferred, rq)
+func (ba *Balancer) pickFrom(now time.Duration, se *plan.Service, ix *index, rq *Request, anyCircuit bool) Decision {
+	ix.scannedAt = now
+	ba.collect(now, se, ix.entries, len(ix.list), rq, anyCircuit)
+	preferred := ix.preferredEndpoint(rq, ba.limited > 0 && ba.limited < len(ix.list))
+	return ba.leastCost(now, se, ix, ba.prefixHolder(ix, preferred, rq), rq, anyCircuit)
+}
+
+// leastCost chooses the collected candidate with the lowest expected cost.
+func (ba *Balancer) leastCost(now time.Duration, se *plan.Service, ix *index, holder *candidate, rq *Request, anyCircuit bool) Decision {
 	source := ba.copySource(now, se, holder, rq)
-	weight := prefillWeight(now, ba.candidates, rq)
-	best := Decision{Candidates: len(list), Withheld: len(ba.withheld), Reason: "least expected time"}
+	es := ba.estimate(se.Name)
+	weight := prefillWeight(now, es, ba.candidates, rq)
+	best := Decision{Candidates: len(ix.list), Withheld: len(ba.withheld), Reason: "least expected time"}
 	least := time.Duration(0)
+	ix.best.count = 0
 	for _, ca := range ba.candidates {
 		en, st := ca.endpoint, ca.state
 		if slices.Contains(rq.Tried, en.ID) || (!anyCircuit && !st.circuit.Allows(now)) {
 			continue
 		}
-		cached := st.cachedTokens(rq, en == holder)
+		held := holder != nil && st == holder.state
+		cached := st.cachedTokens(rq, held)
 		var cp copyPlan
-		if en != holder {
-			cp = source.plan(se, cached)
+		if !held {
+			cp = source.plan(es, se, cached)
 		}
 		uncached := rq.Prompt - cached - cp.tokens
 		toFirstEvent, queueTime := st.expect(now, se, rq, uncached)
 		toFirstEvent += cp.time
-		cost := toFirstEvent + time.Duration(st.recentFailures(now)*float64(failurePenalty)) + prefillPenalty(rq, uncached, weight) + cp.time
-		cost += inactivityFactor*st.inactivity(now) + jitter(rq, en)
-		if en.Domain != rq.Domain {
-			cost += crossDomainTime
-		}
+		cost := toFirstEvent + time.Duration(st.recentFailures(now)*float64(failurePenalty)) + prefillPenalty(es, rq, uncached, weight) + cp.time
+		cost += inactivityFactor*st.inactivity(now) + jitter(rq, st) + ba.leavingCost(now, se, rq, en)
+		ix.best.add(ca.position, cost)
 		if best.Endpoint == nil || cost < least {
 			best.Endpoint, best.TimeToFirstEvent, best.QueueTime, best.UncachedTokens, least = en, toFirstEvent, queueTime, uncached, cost
 			best.Source, best.CopyTokens = cp.source, cp.tokens
@@ -142,9 +167,17 @@
 	return best
 }
 
+// leavingCost returns the cost of sending the request to the endpoint for the round trip and the transfer, if that is in another failure domain.
+func (ba *Balancer) leavingCost(_ time.Duration, _ *plan.Service, rq *Request, en *roster.Endpoint) time.Duration {
+	if en.Domain == rq.Domain {
+		return 0
+	}
+	return crossDomainTime
+}
+
 // cachedTokens returns the number of prompt tokens that the endpoint is expected to have cached; holder is true if the endpoint is the one
 // returned by prefixHolder.
-func (st *state) cachedTokens(rq Request, holder bool) int64 {
+func (st *state) cachedTokens(rq *Request, holder bool) int64 {
 	if rq.Prompt == 0 {
 		return 0
 	}
@@ -155,35 +188,6 @@
 	return cached
 }
 
-// expect estimates the time until the first event of the response arrives or, for a plain service, the complete response. queueTime is how
-// much of this time the endpoint spends on the prompts of other requests. The parameter uncached is the number of prompt tokens to prefill.
-func (st *state) expect(now time.Duration, se *plan.Service, rq Request, uncached int64) (toFirstEvent, queueTime time.Duration) {
-	inFlight := st.running + st.otherRequests(now)
-	if rq.Prompt == 0 {
-		return st.expectLatency(inFlight), 0
-	}
-	backlog := max(st.prefillBacklog+st.peerBacklog(now), int64(st.waiting(now))*queuedPromptTokens)
-	queueTime = time.Duration(float64(backlog) / prefillRate * float64(time.Millisecond))
-	prefill := time.Duration(float64(uncached) / prefillRate * float64(time.Millisecond))
-	prefill += time.Duration(float64(uncached) * float64(rq.Prompt) / 1e6 * float64(quadraticTime))
-	toFirstEvent = firstEventBase + queueTime + prefill + time.Duration(inFlight)*perRequestTime
-	if over := inFlight + 1 - slotsOf(st, se); over > 0 {
-		toFirstEvent += time.Duration(over) * defaultLatency
-	}
-	return time.Duration(float64(toFirstEvent) * st.slowness), time.Duration(float64(queueTime) * st.slowness)
-}
-
-// expectLatency returns the expected latency of a plain service with the given number of requests in flight. The result is
-// latency * (1 + over/slots) * (1 + inFlight/8), where over is the number of requests beyond the slots, including the new one.
-func (st *state) expectLatency(inFlight int) time.Duration {
-	latency := st.latency
-	if latency == 0 {
-		latency = defaultLatency
-	}
-	slots := max(1, st.endpoint.Slots)
-	return latency * time.Duration(slots+max(0, inFlight+1-slots)) / time.Duration(slots) * time.Duration(8+inFlight) / 8
-}
-
 // slotsOf returns the number of requests that the endpoint runs at once, as registered or else as configured for the service.
 func slotsOf(st *state, se *plan.Service) int {
 	if st.endpoint.Slots > 0 {
@@ -192,34 +196,13 @@
 	return max(1, se.Slots)
 }
 
-// preferredEndpoint returns the endpoint that all instances prefer for requests with the same shared prefix, by rendezvous hashing. A
-// prefix shorter than localPrefixTokens has one preferred endpoint in each failure domain. Without a shared prefix, the result is nil.
-func preferredEndpoint(list []*roster.Endpoint, rq Request) *roster.Endpoint {
-	if len(rq.Parts) < 2 {
-		return nil
-	}
-	prefix := rq.Parts[len(rq.Parts)-2].ID
-	shared := rq.sharedTokens()
-	var best *roster.Endpoint
-	var highest uint64
-	for _, en := range list {
-		if shared < localPrefixTokens && en.Domain != rq.Domain {
-			continue
-		}
-		if weight := mix(xxhash.Sum64String(en.ID) ^ prefix); best == nil || weight > highest {
-			best, highest = en, weight
-		}
-	}
-	return best
-}
-
 // jitter returns a pseudo-random addition to the cost of an endpoint for a request, so that endpoints of equal cost are chosen equally
 // often.
-func jitter(rq Request, en *roster.Endpoint) time.Duration {
+func jitter(rq *Request, st *state) time.Duration {
 	if len(rq.Parts) == 0 {
 		return 0
 	}
-	return time.Duration(mix(xxhash.Sum64String(en.ID)^rq.Parts[len(rq.Parts)-1].ID) % uint64(maxJitter))
+	return time.Duration(mix(st.hash^rq.Parts[len(rq.Parts)-1].ID) % uint64(maxJitter))
 }
 
 // mix is the finalizer of MurmurHash3, which spreads the entropy of a hash over all its bits.
@@ -234,12 +217,15 @@
 func (ba *Balancer) state(now time.Duration, en *roster.Endpoint, se *plan.Service) *state {
 	st, ok := ba.states[en.ID]
 	if !ok || !st.endpoint.SameProcess(*en) {
-		st = newState(*en, se.KVCapacityTokens)
+		if ok {
+			ba.dropIndexes()
+		}
+		st = newState(*en, se.KVCapacityTokens, ba.estimate(en.Service), &ba.lag)
 		st.rateLimit = ba.limits.heard[en.Process()]
 		delete(ba.limits.heard, en.Process())
 		ba.states[en.ID] = st
 	}
-	st.brittle.Brittleness = ba.brittleness(now, en.Service, &st.brittle)
+	ba.updateBrittleness(now, st)
 	return st
 }
 
@@ -251,6 +237,7 @@
 	for id, st := range ba.states {
 		if st.running == 0 && !st.refuses(now) && !known(id) {
 			delete(ba.states, id)
+			ba.dropIndexes()
 		}
 	}
 }
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/clementineweir/clementineweir/pkg/limit"
 	"github.com/clementineweir/clementineweir/pkg/roster"
 	"github.com/clementineweir/clementineweir/pkg/route"
@@ -15,10 +17,8 @@
 	failureHalfLife = 4 * time.Second
 	// slownessWeight is the weight of the newest sample in state.slowness, a moving average.
 	slownessWeight = 0.2
-	// maxSlowness bounds a single sample of state.slowness.
-	maxSlowness = 20
-	// maxLoadAge is the age beyond which a reported load is stale and no longer used. Each response brings a new one.
-	maxLoadAge = 1500 * time.Millisecond
+	// minSlowness bounds state.slowness, and maxSlowness a single sample of it.
+	minSlowness, maxSlowness = 0.3, 20
 	// usualInactivity is the time without data from an endpoint, while requests are in flight there, that is not penalized. The prefill of a
 	// long prompt takes about as long.
 	usualInactivity = 400 * time.Millisecond
@@ -31,7 +31,9 @@
 // state is what this instance knows of one process of an endpoint.
 type state struct {
 	endpoint roster.Endpoint
-	circuit  route.Circuit
+	// hash is the hash of the endpoint's ID.
+	hash    uint64
+	circuit route.Circuit
 	// running is the number of this instance's requests in flight at the endpoint.
 	running int
 	// prefillBacklog is the sum of the uncached prompt tokens of those requests of this instance that wait for their first event.
@@ -41,13 +43,24 @@
 	// count, which decays with failureHalfLife.
 	failures   float64
 	failuresAt time.Duration
-	// slowness is the moving average of the ratio of measured to expected times to the first event.
+	// slowness is the moving average of the ratio of measured to expected times to the first event, where the expected times contain what the endpoint
+	// said of its work (see workFactor), so that this is not counted twice.
 	slowness float64
+	// prefillRatio is the moving average of the logarithm of the same ratio for the requests that measure the prefill rate; rateMeasured is true after the
+	// first of them.
+	prefillRatio float64
+	rateMeasured bool
 	// latency is the moving average of the latency of a plain service.
 	latency time.Duration
 	// load is the newest load that the endpoint reported, received at loadAt.
 	load   Load
 	loadAt time.Duration
+	// work is what the endpoint said of the duration of its work.
+	work work
+	// service is what is known of all endpoints of the service together.
+	service *estimate
+	// lag is how late this instance itself runs.
+	lag *lag
 	// lastActivity is the time at which the endpoint last sent data to this instance. If no request of this instance is in flight, the next
 	// one sets it to its start.
 	lastActivity atomic.Int64
@@ -69,36 +82,20 @@
 }
 
 // newState returns the state of a process that has no requests yet; capacity is the size of its KV memory in tokens, zero if unknown.
-func newState(en roster.Endpoint, capacity int64) *state {
+func newState(en roster.Endpoint, capacity int64, service *estimate, la *lag) *state {
 	if capacity <= 0 {
 		capacity = defaultKVCapacity
 	}
-	return &state{endpoint: en, cache: newCache(int64(float64(capacity) * cacheShare)), slowness: 1}
-}
-
-// otherRequests returns the number of requests of other instances at the endpoint, from the last reported load; zero if that load is stale.
-func (st *state) otherRequests(now time.Duration) int {
-	if st.loadAt == 0 || now-st.loadAt > maxLoadAge {
-		return 0
-	}
-	return max(0, st.load.Running+st.load.Waiting-st.runningAtLoad)
+	return &state{endpoint: en, hash: xxhash.Sum64String(en.ID), cache: newCache(int64(float64(capacity) * cacheShare)), slowness: 1, service: service, lag: la}
 }
 
-// inactivity returns the time since the endpoint last sent data to this instance, less usualInactivity, but at least zero. It is also zero
+// inactivity returns the time since the endpoint last sent data to this instance, less usualInactivity and the lag of this instance, but at least zero. It is also zero
 // if no request of this instance is in flight there.
 func (st *state) inactivity(now time.Duration) time.Duration {
 	if st.running == 0 {
 		return 0
 	}
-	return max(0, now-time.Duration(st.lastActivity.Load())-usualInactivity)
-}
-
-// waiting returns the number of requests in the endpoint's queue, from the last reported load; zero if that load is stale.
-func (st *state) waiting(now time.Duration) int {
-	if st.loadAt == 0 || now-st.loadAt > maxLoadAge {
-		return 0
-	}
-	return st.load.Waiting
+	return max(0, now-time.Duration(st.lastActivity.Load())-usualInactivity-st.lag.at(now))
 }
 
 func (st *state) recordFailure(now time.Duration, weight float64) {
@@ -119,5 +116,5 @@
 		return
 	}
 	sample := min(float64(measured)/float64(expected), maxSlowness)
-	st.slowness = max(0.3, st.slowness*(1-slownessWeight)+sample*slownessWeight)
+	st.slowness = max(minSlowness, st.slowness*(1-slownessWeight)+sample*slownessWeight)
 }
