Quota: working balances for instances without a sufficient grant

A borrower asked its peers for each request exactly what the request needed. In addition each new row of a borrower that has one gave all borrowed tokens back, since its grant was lowered to the tokens used. Now a borrower keeps a target balance, asks ahead below half of it, and its rows keep the balance; a lender gives a part of its surplus for a loan ahead.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -46,12 +46,14 @@
 	// lent and received are the tokens sent to peers and received from peers; such transfers have no row in the topic.
 	lent     int64
 	received int64
+	// use measures the reservations here and controls the loans ahead.
+	use usage
 	// changed is closed and replaced to signal waiting requests to try again.
 	changed chan struct{}
 }
 
 func newAccount(team string) *account {
-	return &account{team: team, changed: make(chan struct{})}
+	return &account{team: team, use: newUsage(), changed: make(chan struct{})}
 }
 
 // used returns the tokens that count against the grant: those spent, reserved or lent, less those received from peers.
--- a/pkg/quota/build.go
+++ b/pkg/quota/build.go
@@ -187,14 +187,14 @@
 	slack = min(slack, max(0, granted-ac.used())*maxLossPercent/percent) + ac.waiting
 	slack = max(slack, max(0, granted-ac.used())/idleDivisor)
 	free := max(0, granted-ac.used())
-	return Row{
+	return sh.withBalance(ac, now, Row{
 		MaxCeiling: ac.used() + max(slack, free*maxCeilingPercent/percent),
 		Granted:    granted, Base: ac.used() + slack, Rate: rate, Delay: ceilingDelay,
 		Spent: ac.totalSpent(), WrittenOff: ac.writtenOff, Demand: demand,
 		BurstRate: demand * burstRatePercent / percent, BurstDelay: burstDelay, Need: ac.waiting,
 		Wall: stamp.Wall.UnixMilli(), Boot: stamp.Boot.Milliseconds(), Incarnation: sh.config.Incarnation,
 		OwnDemand: ac.ownDemand.perSecond(now), NetLent: ac.lent - ac.received,
-	}
+	})
 }
 
 // inherit takes over the row of an earlier incarnation of this instance: all tokens that the row allowed it to use until the start of this incarnation
--- a/pkg/quota/holders.go
+++ b/pkg/quota/holders.go
@@ -25,7 +25,26 @@
 func (sh *Shard) SetMembers(names []string) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
+	if slices.Equal(sh.members, names) {
+		return
+	}
 	sh.members = names
+	clear(sh.rankings)
+}
+
+// ranking returns the members in the order of rendezvous hashing for a team. Computing it takes far longer than the rest of assignedHolders.
+func (sh *Shard) ranking(team string) []string {
+	if list, ok := sh.rankings[team]; ok {
+		return list
+	}
+	weights := make(map[string]uint64, len(sh.members))
+	for _, name := range sh.members {
+		weights[name] = xxhash.Sum64String(team + "\x00" + name)
+	}
+	list := slices.Clone(sh.members)
+	slices.SortFunc(list, func(aa, bb string) int { return cmp.Compare(weights[bb], weights[aa]) })
+	sh.rankings[team] = list
+	return list
 }
 
 // assignedHolders returns the instances that should hold grants of a team: first those with high demand, then others by rendezvous hashing.
@@ -36,36 +55,23 @@
 	if len(sh.members) <= maxHolders {
 		return sh.members
 	}
-	type ranked struct {
-		name       string
-		highDemand bool
-		weight     uint64
-	}
 	threshold := sh.highDemandThreshold(team, now)
-	list := make([]ranked, 0, len(sh.members))
-	for _, name := range sh.members {
+	high := make([]string, 0, maxHolders)
+	var others []string
+	for _, name := range sh.ranking(team) {
 		sr, ok := sh.rows[team][name]
 		if ok && name != sh.config.Instance && now-sr.seenAt > activeSpan && sr.row.Granted != sr.row.Spent {
 			continue
 		}
-		list = append(list, ranked{
-			name: name, highDemand: sh.ownDemand(team, name, now) > threshold, weight: xxhash.Sum64String(team + "\x00" + name),
-		})
-	}
-	slices.SortFunc(list, func(aa, bb ranked) int {
-		if aa.highDemand != bb.highDemand {
-			if aa.highDemand {
-				return -1
-			}
-			return 1
+		switch {
+		case sh.ownDemand(team, name, now) > threshold:
+			high = append(high, name)
+		case len(others) < maxHolders:
+			others = append(others, name)
 		}
-		return cmp.Compare(bb.weight, aa.weight)
-	})
-	names := make([]string, 0, maxHolders)
-	for _, ra := range list[:min(len(list), maxHolders)] {
-		names = append(names, ra.name)
 	}
-	return names
+	names := append(high, others...)
+	return names[:min(len(names), maxHolders)]
 }
 
 // ownDemand returns the tokens a second that an instance spends itself for a team; it is zero for peers that are not active.
@@ -93,5 +99,30 @@
 
 // isAssigned reports whether this instance should hold grants of a team.
 func (sh *Shard) isAssigned(team string, now time.Duration) bool {
+	if sh.discovering(team, now) {
+		// Only one of several rows that are appended at the same offset is accepted, so that no more than maxHolders instances see too few
+		// holders.
+		return sh.account(team).inForce != nil || sh.holders(team) < maxHolders
+	}
 	return len(sh.members) <= maxHolders || slices.Contains(sh.assignedHolders(team, now), sh.config.Instance)
 }
+
+// discovering reports whether this instance might not know all other instances and has no row of a team by an earlier incarnation.
+//
+// All instances of a fleet that start together would otherwise write rows of every team, each as one of the few instances that it knows. Rows
+// are never removed, and each is renewed every renewInterval.
+func (sh *Shard) discovering(team string, now time.Duration) bool {
+	sr, ok := sh.rows[team][sh.config.Instance]
+	return now-sh.started < sh.config.DiscoverySpan && (!ok || sr.row.Incarnation == sh.config.Incarnation)
+}
+
+// holders returns the number of instances with unused tokens of a team, by their rows.
+func (sh *Shard) holders(team string) int {
+	count := 0
+	for _, sr := range sh.rows[team] {
+		if sr.row.Granted > sr.row.Spent+sr.row.NetLent {
+			count++
+		}
+	}
+	return count
+}
--- a/pkg/quota/lend.go
+++ b/pkg/quota/lend.go
@@ -12,6 +12,8 @@
 	// scarcePercent defines when a team's tokens are scarce: unused <= total * scarcePercent / 100. Borrowers then return the tokens that they
 	// do not use.
 	scarcePercent = 10
+	// balanceDivisor divides the unused tokens of instances that are not assigned holders in the order of lenders.
+	balanceDivisor = 64
 	// minSurplus is the minimum size of a surplus, in tokens; sending fewer is not worth the call.
 	minSurplus = 100
 )
@@ -26,9 +28,10 @@
 	Holder string
 }
 
-// ReleaseSurpluses removes surplus tokens from the accounts and returns them, ordered by team. There are two cases:
+// ReleaseSurpluses removes surplus tokens from the accounts and returns them, ordered by team. There are three cases:
 //   - When a team's tokens are scarce, a borrower releases its unused tokens. The tokens left of its last loan are too few for its
 //     next request, but those of all borrowers together may be all that the team has left.
+//   - A borrower releases its balance after some seconds without a request, and what it holds far beyond its target.
 //   - While the store is unreachable, a closing instance releases all tokens up to its ceilings, because its next incarnation would
 //     write them off.
 //
@@ -38,16 +41,17 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	var list []Surplus
-	for team, total := range sh.totals {
+	for team := range sh.totals {
 		ac := sh.account(team)
 		tokens := ac.limit(now, sh.excess(team)) - ac.used()
 		if tokens < minSurplus || ac.waiting > 0 {
 			continue
 		}
 		holder, unused := sh.mostDepleted(team, now, storeUnreachable, inBackoff)
-		releaseAll := sh.closing && storeUnreachable
-		returnUnused := !sh.isAssigned(team, now) && unused <= total*scarcePercent/percent
-		if holder == "" || (!releaseAll && !returnUnused) {
+		if !sh.closing || !storeUnreachable {
+			tokens = sh.unneeded(ac, now, tokens, unused)
+		}
+		if holder == "" || tokens < minSurplus {
 			continue
 		}
 		ac.lent += tokens
@@ -57,6 +61,21 @@
 	return list
 }
 
+// unneeded returns the part of a borrower's free tokens that it should return to a holder, zero for holders. The parameter unused is the
+// number of the team's unused tokens in all rows.
+func (sh *Shard) unneeded(ac *account, now time.Duration, free, unused int64) int64 {
+	if sh.isAssigned(ac.team, now) {
+		return 0
+	}
+	wb := sh.workingBalance(ac, now, free)
+	wb.unused, wb.scarce = unused, unused <= sh.totals[ac.team]*scarcePercent/percent
+	if wb.scarce && wb.target() == 0 {
+		return free
+	}
+	// The tokens of a grant are moved by the next row.
+	return min(wb.release(now-ac.use.reservedAt, now-ac.use.borrowedAt), ac.received-ac.lent)
+}
+
 // mostDepleted returns the holder with the fewest unused tokens of a team, or an empty name, and the sum of the unused tokens of all rows.
 // Inactive and unassigned holders are considered only while the store is unreachable, since no row is renewed then.
 func (sh *Shard) mostDepleted(
@@ -86,32 +105,46 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	ac := sh.account(team)
-	excess := sh.excess(team)
-	retained := ac.used() + ac.waiting + ac.ownDemand.perSecond(now)*retainSeconds
-	lent = max(0, min(tokens, ac.limit(now, excess)-retained))
+	surplus, beyond := sh.surplus(ac, now)
+	lent = max(0, min(tokens, surplus))
 	if lent > 0 {
-		ac.lent += lent
-		ac.demand.add(now, lent)
-		ac.recordSize(lent)
+		sh.recordLoan(ac, now, lent)
 	}
-	return lent, lent < tokens && retained+tokens-lent <= ac.granted()-excess
+	return lent, lent < tokens && tokens <= beyond
 }
 
-// Lenders returns the instances from which to borrow tokens of a team, in the order in which to ask them, and the number of tokens to
+// Lenders returns, for a request that waits, the instances from which to borrow tokens of a team, in the order in which to ask them, and the number of tokens to
 // borrow in all. The parameter tokens is the size of the request.
 //
 // The order is random, weighted by unused tokens, so that borrowers spread over the lenders; random returns numbers from 0 to 1.
 func (sh *Shard) Lenders(now time.Duration, team string, tokens int64, random func() float64) ([]string, int64) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
+	names := sh.lenders(now, team, random)
+	ac := sh.account(team)
+	ac.use.borrowedAt = now
+	missing := max(tokens, ac.used()+tokens-ac.granted())
+	if !sh.isAssigned(team, now) {
+		return names, max(0, ac.used()+tokens-ac.granted())
+	}
+	return names, missing + max(ac.waiting, ac.demand.perSecond(now)*borrowAheadSeconds)
+}
+
+// lenders returns the instances from which to borrow tokens of a team, in the order in which to ask them; see Lenders.
+func (sh *Shard) lenders(now time.Duration, team string, random func() float64) []string {
 	var names []string
 	unused := map[string]float64{}
+	assigned := sh.assignedHolders(team, now)
 	for instance, sr := range sh.rows[team] {
 		if instance == sh.config.Instance {
 			continue
 		}
 		names = append(names, instance)
 		unused[instance] = float64(max(1, sr.row.Granted-sr.row.Spent-sr.row.NetLent))
+		if !slices.Contains(assigned, instance) {
+			// What an instance holds that is no assigned holder is the balance for its own requests.
+			unused[instance] /= balanceDivisor
+		}
 	}
 	slices.Sort(names)
 	for _, name := range names {
@@ -119,12 +152,7 @@
 		unused[name] *= random()
 	}
 	slices.SortStableFunc(names, func(aa, bb string) int { return cmp.Compare(unused[bb], unused[aa]) })
-	ac := sh.account(team)
-	missing := max(tokens, ac.used()+tokens-ac.granted())
-	if !sh.isAssigned(team, now) {
-		return names, max(0, ac.used()+tokens-ac.granted())
-	}
-	return names, missing + max(ac.waiting, ac.demand.perSecond(now)*borrowAheadSeconds)
+	return names
 }
 
 // Receive adds tokens that a peer lent or returned; they can be spent without a new row.
--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -12,6 +12,16 @@
 type meter struct {
 	tokens    float64
 	updatedAt time.Duration
+	// halfLife is the half-life of the average; zero means demandHalfLife.
+	halfLife time.Duration
+}
+
+// span returns the half-life in seconds.
+func (me *meter) span() float64 {
+	if me.halfLife > 0 {
+		return me.halfLife.Seconds()
+	}
+	return demandHalfLife.Seconds()
 }
 
 func (me *meter) add(now time.Duration, tokens int64) {
@@ -21,12 +31,12 @@
 
 func (me *meter) perSecond(now time.Duration) int64 {
 	me.decay(now)
-	return int64(me.tokens * math.Ln2 / demandHalfLife.Seconds())
+	return int64(me.tokens * math.Ln2 / me.span())
 }
 
 func (me *meter) decay(now time.Duration) {
 	if now > me.updatedAt {
-		me.tokens *= math.Exp2(-(now - me.updatedAt).Seconds() / demandHalfLife.Seconds())
+		me.tokens *= math.Exp2(-(now - me.updatedAt).Seconds() / me.span())
 		me.updatedAt = now
 	}
 }
--- a/pkg/quota/property_test.go
+++ b/pkg/quota/property_test.go
@@ -58,6 +58,8 @@
 	unreachable map[int]bool
 	// era is the era of the store.
 	era keyed.Era
+	// appendedAt is the time of the last append in a fleet.
+	appendedAt time.Duration
 }
 
 // restore takes back the given number of records, at most all, and begins a new era.
@@ -325,6 +327,24 @@
 				to.shard.Receive(testTeam, lent)
 			}
 		},
+		"move ahead": func(tt *rapid.T) {
+			from, to := si.instances[index.Draw(tt, "from")], si.instances[index.Draw(tt, "to")]
+			for _, loan := range to.shard.TakeAhead(si.now, func() float64 { return 1 }) {
+				lent, _ := from.shard.LendAhead(si.now, loan.Team, loan.Tokens)
+				got := int64(0)
+				if from != to && rapid.Bool().Draw(tt, "arrives") {
+					to.shard.Receive(loan.Team, lent)
+					got = lent
+				}
+				if rapid.Bool().Draw(tt, "finishes") {
+					to.shard.FinishAhead(si.now, loan, got)
+				}
+			}
+			lent, _ := from.shard.LendAhead(si.now, testTeam, rapid.Int64Range(1, 400).Draw(tt, "tokens"))
+			if from != to && rapid.Bool().Draw(tt, "arrives too") {
+				to.shard.Receive(testTeam, lent)
+			}
+		},
 		"return": func(tt *rapid.T) {
 			from, to := si.instances[index.Draw(tt, "from")], si.instances[index.Draw(tt, "to")]
 			for _, su := range from.shard.ReleaseSurpluses(si.now, rapid.Bool().Draw(tt, "unreachable"), func(string) bool { return false }) {
--- a/pkg/quota/shard.go
+++ b/pkg/quota/shard.go
@@ -19,6 +19,8 @@
 	Incarnation int64
 	// FirstStart reports whether no instance has run before, so that there are no rows which the store may have lost.
 	FirstStart bool
+	// DiscoverySpan is the time after the start in which this instance might not know all others; see discovering.
+	DiscoverySpan time.Duration
 }
 
 // ReserveResult says whether a reservation succeeded, or why it failed.
@@ -67,6 +69,8 @@
 	readAt time.Duration
 	// members are the names of all instances that have announced themselves.
 	members []string
+	// rankings caches the results of ranking, by team.
+	rankings map[string][]string
 	// closing is true once Close was called.
 	closing bool
 	// era is the era of the store in which the topic was last read.
@@ -88,6 +92,8 @@
 	takeovers []Takeover
 	// urgent is the channel returned by Urgent.
 	urgent chan struct{}
+	// ahead holds the teams for which a loan ahead is due.
+	ahead aheadQueue
 }
 
 // New returns a shard that has not read its topic yet. The parameter now is the start of this incarnation; stamp reads the two clocks of
@@ -97,6 +103,7 @@
 		config: config, rows: map[string]map[string]seenRow{}, accounts: map[string]*account{},
 		totals: map[string]int64{}, stamp: stamp, started: now, startStamp: stamp(), urgent: make(chan struct{}, 1),
 		statements: map[string]statement{}, witnesses: map[string]statement{}, known: map[string]bool{}, lost: map[rowID]Row{}, found: map[string]bool{},
+		ahead: newAheadQueue(), rankings: map[string][]string{},
 	}
 }
 
@@ -128,6 +135,7 @@
 	if tokens <= free {
 		ac.reserved += tokens
 		ac.recordSize(tokens)
+		sh.recordUse(ac, now, tokens, free-tokens)
 		if free-tokens < ac.meanSize {
 			sh.signalUrgent()
 		}
