Edge: loans ahead of requests, with reasons in logs and metrics

Instances that borrow waited for a call to a peer in 3 of 10 requests. The edge now carries out the loans ahead that a shard asks for, one call in flight for each team; a negative number in Give asks for one, which older builds answer with nothing. An instance whose loan fell short reads the rows again soon, and a closing instance without a row returns its balance.

--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -50,6 +50,10 @@
 	defer cancel()
 	ed.servers.shutdown(sctx)
 	ed.origins.shareAll()
+	for _, sh := range ed.quotas.Shards() {
+		// The balance of an instance without a row is given back by a call, not by a row.
+		ed.transfers.returnSurplus(sctx, sh)
+	}
 	settled := ed.awaitSettled(loops, begun.Add(grace-exitMargin))
 	ed.config.Logger.Info("drained", "took", time.Since(begun).Seconds(), "settled", settled)
 	return errDrained
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -27,6 +27,10 @@
 // milliseconds and concurrent appends to the same partition conflict.
 const grantShards = 8
 
+// discoverySpan is the time after the start in which an instance might not know the other instances of a fleet that starts with it. The
+// announcements of 75 instances take the store about a second.
+const discoverySpan = 2 * time.Second
+
 // minNoticeTokens is the minimum number of uncached prompt tokens for which peers are notified. An endpoint prefills them in some 25 ms.
 const minNoticeTokens = 1500
 
@@ -129,7 +133,7 @@
 	incarnation := cf.Stamp().Wall.UnixNano()
 	ed := &Edge{
 		config: cf, roster: roster.New(), balancer: place.NewBalancer(), metrics: gate.NewMetrics(),
-		quotas:      quota.NewSet(grantShards, quota.Config{Instance: cf.Settings.Name, Incarnation: incarnation, FirstStart: cf.Settings.FirstStart}, now, cf.Stamp),
+		quotas:      quota.NewSet(grantShards, quota.Config{Instance: cf.Settings.Name, Incarnation: incarnation, FirstStart: cf.Settings.FirstStart, DiscoverySpan: discoverySpan}, now, cf.Stamp),
 		retryBudget: retry.New(retryConfig(cf.Settings), now),
 	}
 	ed.grace.Store(int64(cf.Settings.Grace))
@@ -295,7 +299,7 @@
 		ed.notifier.RunSend, ed.notifier.RunReceive, ed.permits.run, ed.paths.run, ed.origins.log.run,
 	}
 	for _, gs := range ed.grantSyncs {
-		loops = append(loops, gs.run)
+		loops = append(loops, gs.run, (&aheadLoans{transfers: ed.transfers, quota: gs.quota}).run)
 	}
 	for _, loop := range loops {
 		group.Add(func() error { return loop(lctx) }, func(error) { stop() })
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -178,6 +178,7 @@
 // idle reports whether there is nothing to read or to append now.
 func (gs *grantSync) idle(now time.Duration) bool {
 	return gs.view.Loaded() && now-gs.lastRead() < gs.idleInterval() && !gs.readWanted() && !gs.eraOutdated() && !gs.quota.Due(now) &&
+		!gs.quota.ReadWanted(now, gs.lastRead()) &&
 		!gs.announcementDue(now) && (gs.partition != 0 || !gs.edge.origins.builds.due(now))
 }
 
--- a/internal/edge/transfers.go
+++ b/internal/edge/transfers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -25,21 +26,20 @@
 	shortfallAt map[string]time.Duration
 }
 
-// Borrow asks peers for tokens of the team and reports whether it received any.
+// Borrow asks peers for tokens of the team for a request that waits, and reports whether it received any.
 func (tf *transfers) Borrow(ctx context.Context, team string, tokens int64) bool {
 	cf := tf.edge.config
 	now := cf.Clock()
 	if !tf.mayBorrow(team, now) {
 		return false
 	}
-	names, want := tf.edge.quotas.Shard(team).Lenders(now, team, tokens, rand.Float64)
+	sh := tf.edge.quotas.Shard(team)
+	names, want := sh.Lenders(now, team, tokens, rand.Float64)
 	got := tf.edge.mesh.Borrow(ctx, team, want, names)
-	if got > 0 {
-		tf.edge.quotas.Shard(team).Receive(team, got)
-		cf.Logger.Info("tokens taken", "team", team, "asked", want, "got", got, "from", names)
-	}
+	tf.receive(sh, loan{team: team, reason: loanWaiting, asked: want, got: got, from: names})
 	if got < want {
 		tf.recordShortfall(team, now)
+		sh.RecordShortfall(cf.Clock(), team)
 	}
 	return got > 0
 }
@@ -65,17 +65,31 @@
 // the ceiling, and then lends the remaining tokens.
 func (tf *transfers) Lend(ctx context.Context, team string, tokens int64) int64 {
 	sh := tf.edge.quotas.Shard(team)
+	return tf.lend(ctx, sh, loan{team: team, reason: loanWaiting, asked: tokens}, sh.Lend)
+}
+
+// LendAhead lends a part of this instance's surplus of a team to a peer, and otherwise does the same as Lend.
+func (tf *transfers) LendAhead(ctx context.Context, team string, tokens int64) int64 {
+	sh := tf.edge.quotas.Shard(team)
+	return tf.lend(ctx, sh, loan{team: team, reason: loanAhead, asked: tokens}, sh.LendAhead)
+}
+
+// lend lends tokens by the given function of the shard, again after the next grant row if only the ceiling prevents it from lending more.
+func (tf *transfers) lend(
+	ctx context.Context, sh *quota.Shard, lo loan, call func(now time.Duration, team string, tokens int64) (int64, bool),
+) int64 {
 	clock := tf.edge.config.Clock
-	given, capped := sh.Lend(clock(), team, tokens)
-	if capped && tf.edge.StoreReachable() {
-		changed := sh.AddWaiter(clock(), team, tokens-given)
+	given, capped := call(clock(), lo.team, lo.asked)
+	if rest := lo.asked - given; capped && tf.edge.StoreReachable() {
+		changed := sh.AddWaiter(clock(), lo.team, rest)
 		tf.await(ctx, changed)
-		sh.RemoveWaiter(team, tokens-given)
-		more, _ := sh.Lend(clock(), team, tokens-given)
+		sh.RemoveWaiter(lo.team, rest)
+		more, _ := call(clock(), lo.team, rest)
 		given += more
 	}
 	if given > 0 {
-		tf.edge.config.Logger.Info("tokens given", "team", team, "asked", tokens, "given", given, "capped", capped)
+		tf.edge.metrics.Counter(fmt.Sprintf("weir_tokens_lent_total{reason=%q}", lo.reason)).AddInt64(given)
+		tf.edge.config.Logger.Info("tokens given", "team", lo.team, "reason", lo.reason, "asked", lo.asked, "given", given, "capped", capped)
 	}
 	return given
 }
@@ -103,9 +117,11 @@
 	for _, su := range sh.ReleaseSurpluses(tf.edge.config.Clock(), !tf.edge.StoreReachable(), tf.edge.mesh.InBackoff) {
 		if err := tf.edge.mesh.Return(ctx, su.Holder, su.Team, su.Tokens); err != nil {
 			// The call failed, but the peer may have received the tokens. They are therefore not added back to this instance's grant.
+			tf.edge.metrics.Counter("weir_tokens_lost_total").AddInt64(su.Tokens)
 			lo.Info("tokens lost on the way", "team", su.Team, "tokens", su.Tokens, "holder", su.Holder, "reason", err.Error())
 			continue
 		}
+		tf.edge.metrics.Counter("weir_tokens_returned_total").AddInt64(su.Tokens)
 		lo.Info("tokens sent", "team", su.Team, "tokens", su.Tokens, "holder", su.Holder)
 	}
 }
--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -40,6 +40,12 @@
 	sh := pr.gate.config.Purses.Shard(pr.team)
 	giveUpAt := min(pr.deadline, pr.now()+time.Duration(reserveWaitShare*float64(pr.route.LatencyTarget)))
 	awaitedRow := false
+	started := pr.now()
+	defer func() {
+		if pr.entry.tokenWaits {
+			pr.entry.tokenWait = pr.now() - started
+		}
+	}()
 	for {
 		result := sh.Reserve(pr.now(), pr.team, tokens)
 		switch result {
@@ -53,6 +59,10 @@
 				WithRetryAfter(uncertainRetryAfter)
 		case quota.OverCeiling, quota.OverGrant:
 		}
+		if !pr.entry.tokenWaits {
+			pr.entry.tokenWaits = true
+			pr.gate.config.Metrics.Counter("weir_token_waits_total").Inc()
+		}
 		switch {
 		case result == quota.OverCeiling && !awaitedRow && pr.gate.config.Beliefs.StoreReachable():
 			// The next grant row is written within milliseconds. Its ceiling starts above the tokens
@@ -70,6 +80,7 @@
 
 // insufficientTokens returns the error for a team that has tokens left, but too few of them at this instance.
 func (pr *proxyRequest) insufficientTokens() error {
+	pr.gate.config.Metrics.Counter("weir_token_refusals_total").Inc()
 	retry := insufficientRetryAfter
 	if !pr.gate.config.Beliefs.StoreReachable() {
 		retry = outageRetryAfter
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -39,6 +39,10 @@
 	// stopsIn is the time until the instance stops when the request arrived, if stopping is set.
 	stopsIn  time.Duration
 	stopping bool
+	// tokenWait is the time until the tokens were reserved, or the request was refused for lack of them, if tokenWaits is set: this instance held
+	// too few when the request arrived.
+	tokenWait  time.Duration
+	tokenWaits bool
 	// quarantined reports whether the request was refused because it is expected to crash endpoints.
 	quarantined bool
 }
@@ -168,6 +172,9 @@
 	if le.firstEventAt > 0 {
 		args = append(args, "first", seconds(le.firstEventAt-pr.start))
 	}
+	if le.tokenWaits {
+		args = append(args, "tokenWait", seconds(le.tokenWait))
+	}
 	if pr.cost > 0 {
 		args = append(args, "tokens", pr.cost)
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -270,17 +270,29 @@
 	pe.backoffUntil = me.config.Clock() + backoffTime
 }
 
-// Borrow asks peers for tokens of a team and returns how many tokens they lent. The parameter first lists the names of peers to ask before all
-// others.
+// Borrow asks peers for tokens of a team for a request that waits, and returns how many tokens they lent. The parameter first lists the names
+// of peers to ask before all others.
 func (me *Mesh) Borrow(ctx context.Context, team string, tokens int64, first []string) int64 {
+	return me.borrow(ctx, team, tokens, tokens, first, 1)
+}
+
+// BorrowAhead asks peers for tokens of a team before requests wait for them, until it has received enough, and returns how many tokens they
+// lent. Each peer lends a part of its surplus.
+func (me *Mesh) BorrowAhead(ctx context.Context, team string, tokens, enough int64, first []string) int64 {
+	return me.borrow(ctx, team, tokens, enough, first, -1)
+}
+
+// borrow carries out Borrow with the sign 1, and BorrowAhead with the sign -1. The number of tokens in a call for a loan ahead is negative:
+// older builds lend nothing for it, and their own calls, with positive numbers, are for requests that wait.
+func (me *Mesh) borrow(ctx context.Context, team string, tokens, enough int64, first []string, sign int64) int64 {
 	got := int64(0)
 	_ = me.tryPeers(ctx, me.candidates(first, maxLenders), 0, func(ctx context.Context, pe *peer) error {
-		rs, err := pe.client.Give(ctx, &meshpb.GiveRequest{Team: team, Tokens: tokens - got})
+		rs, err := pe.client.Give(ctx, &meshpb.GiveRequest{Team: team, Tokens: sign * (tokens - got)})
 		if err != nil {
 			return err
 		}
 		got += rs.GetTokens()
-		if got < tokens {
+		if got < enough {
 			return errPartialLoan
 		}
 		return nil
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -27,6 +28,11 @@
 	return given
 }
 
+// LendAhead lends at most half of what is left.
+func (sl *stubLender) LendAhead(ctx context.Context, team string, tokens int64) int64 {
+	return sl.Lend(ctx, team, min(tokens, sl.left/2))
+}
+
 func (sl *stubLender) AcceptReturn(_ string, tokens int64) { sl.left += tokens }
 
 // TestBorrow checks that all holders of the team are asked for tokens until they have lent enough, and no other instances. Otherwise
@@ -77,6 +83,45 @@
 	}
 }
 
+// TestBorrowAhead checks that a loan ahead takes parts of the surplus of several holders, and only until it has enough. If each holder were
+// asked for the whole loan as for a waiting request, the first borrower would take what the others need.
+func TestBorrowAhead(tt *testing.T) {
+	cases := []struct {
+		name           string
+		tokens, enough int64
+		want           []int64
+		got            int64
+	}{
+		{"the first holder lends enough", 100, 50, []int64{60, 120}, 60},
+		{"the second holder adds a part", 200, 100, []int64{60, 60}, 120},
+		{"the holders lend too little", 1000, 900, []int64{60, 60}, 120},
+		{"the most negative number", math.MaxInt64, math.MaxInt64, []int64{60, 60}, 120},
+	}
+	for _, tc := range cases {
+		tt.Run(tc.name, func(tt *testing.T) {
+			me := New(Config{Self: Member{Name: "self"}, Clock: func() time.Duration { return time.Second }})
+			lenders := []*stubLender{{left: 120}, {left: 120}}
+			names := []string{"peer-0", "peer-1"}
+			for ix, sl := range lenders {
+				se := httptest.NewServer(NewServer(ServerConfig{Giver: sl}))
+				tt.Cleanup(se.Close)
+				data, err := json.Marshal(Member{Name: names[ix], Address: strings.TrimPrefix(se.URL, "http://")})
+				if err != nil {
+					tt.Fatal(err)
+				}
+				me.ApplyAnnouncements([]keyed.Record{{Key: memberPrefix + names[ix], Value: data}})
+			}
+			got := me.BorrowAhead(context.Background(), "team", tc.tokens, tc.enough, names)
+			if diff := cmp.Diff(tc.got, got); diff != "" {
+				tt.Error(diff)
+			}
+			if diff := cmp.Diff(tc.want, []int64{lenders[0].left, lenders[1].left}); diff != "" {
+				tt.Error(diff)
+			}
+		})
+	}
+}
+
 // TestReturn returns tokens to a known and to an unknown peer.
 func TestReturn(tt *testing.T) {
 	sl := &stubLender{left: 5}
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -18,6 +19,9 @@
 type Lender interface {
 	// Lend lends at most the given number of a team's tokens and returns how many it lent.
 	Lend(ctx context.Context, team string, tokens int64) int64
+	// LendAhead lends a part of this instance's surplus, at most the given number of a team's tokens, to a peer whose requests do not wait yet,
+	// and returns how many it lent.
+	LendAhead(ctx context.Context, team string, tokens int64) int64
 	// AcceptReturn adds, to this instance's grant of the team, tokens that a peer gave back.
 	AcceptReturn(team string, tokens int64)
 }
@@ -73,9 +77,12 @@
 	return &meshpb.AppendResponse{End: end.Offset, Era: int64(end.Era)}, encodeError(err)
 }
 
-// Give lends unused tokens of a team to the calling peer.
+// Give lends unused tokens of a team to the calling peer; a negative number asks for a loan ahead, see Mesh.BorrowAhead.
 func (se *server) Give(ctx context.Context, rq *meshpb.GiveRequest) (*meshpb.GiveResponse, error) {
-	return &meshpb.GiveResponse{Tokens: se.config.Giver.Lend(ctx, rq.GetTeam(), max(0, rq.GetTokens()))}, nil
+	if tokens := rq.GetTokens(); tokens < 0 {
+		return &meshpb.GiveResponse{Tokens: se.config.Giver.LendAhead(ctx, rq.GetTeam(), -max(tokens, -math.MaxInt64))}, nil
+	}
+	return &meshpb.GiveResponse{Tokens: se.config.Giver.Lend(ctx, rq.GetTeam(), rq.GetTokens())}, nil
 }
 
 // Return accepts tokens that the calling peer returns.
--- a/pkg/quota/build.go
+++ b/pkg/quota/build.go
@@ -138,7 +138,8 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	stamp := sh.stamp()
-	for team := range sh.totals {
+	// In the order of the names, since estimates are kept for a while and this returns at the first row that is due.
+	for _, team := range slices.Sorted(maps.Keys(sh.totals)) {
 		ac := sh.account(team)
 		if sh.due(ac, sh.nextRow(ac, now, stamp), now) {
 			return true
--- a/pkg/quota/lend.go
+++ b/pkg/quota/lend.go
@@ -31,7 +31,7 @@
 // ReleaseSurpluses removes surplus tokens from the accounts and returns them, ordered by team. There are three cases:
 //   - When a team's tokens are scarce, a borrower releases its unused tokens. The tokens left of its last loan are too few for its
 //     next request, but those of all borrowers together may be all that the team has left.
-//   - A borrower releases its balance after some seconds without a request, and what it holds far beyond its target.
+//   - A borrower releases its balance when it closes, after some seconds without a request, and what it holds far beyond its target.
 //   - While the store is unreachable, a closing instance releases all tokens up to its ceilings, because its next incarnation would
 //     write them off.
 //
@@ -67,6 +67,10 @@
 	if sh.isAssigned(ac.team, now) {
 		return 0
 	}
+	if _, ok := sh.rows[ac.team][sh.config.Instance]; sh.closing && !ok {
+		// No row gives the balance back.
+		return free
+	}
 	wb := sh.workingBalance(ac, now, free)
 	wb.unused, wb.scarce = unused, unused <= sh.totals[ac.team]*scarcePercent/percent
 	if wb.scarce && wb.target() == 0 {
@@ -113,8 +117,8 @@
 	return lent, lent < tokens && tokens <= beyond
 }
 
-// Lenders returns, for a request that waits, the instances from which to borrow tokens of a team, in the order in which to ask them, and the number of tokens to
-// borrow in all. The parameter tokens is the size of the request.
+// Lenders returns, for a request that waits, the instances from which to borrow tokens of a team, in the order in which to ask them, and the
+// number of tokens to borrow in all. The parameter tokens is the size of the request.
 //
 // The order is random, weighted by unused tokens, so that borrowers spread over the lenders; random returns numbers from 0 to 1.
 func (sh *Shard) Lenders(now time.Duration, team string, tokens int64, random func() float64) ([]string, int64) {
--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -17,7 +17,7 @@
 }
 
 // span returns the half-life in seconds.
-func (me *meter) span() float64 {
+func (me meter) span() float64 {
 	if me.halfLife > 0 {
 		return me.halfLife.Seconds()
 	}
@@ -29,7 +29,8 @@
 	me.tokens += float64(tokens)
 }
 
-func (me *meter) perSecond(now time.Duration) int64 {
+// perSecond returns the rate. It leaves the meter unchanged, so that rounding doesn't depend on how often the rate is read.
+func (me meter) perSecond(now time.Duration) int64 {
 	me.decay(now)
 	return int64(me.tokens * math.Ln2 / me.span())
 }
