--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -36,16 +36,21 @@
 	if !pr.info.Sized || !pr.limited {
 		return nil
 	}
+	started := pr.now()
+	err := pr.reserveTokens()
+	if pr.entry.tokenWaits {
+		pr.gate.config.Metrics.Counter("weir_token_waits_total").Inc()
+		pr.entry.tokenWait = pr.now() - started
+	}
+	return err
+}
+
+// reserveTokens carries out reserve for a limited request.
+func (pr *proxyRequest) reserveTokens() error {
 	tokens := pr.info.Prompt + pr.info.Output
 	sh := pr.gate.config.Purses.Shard(pr.team)
 	giveUpAt := min(pr.deadline, pr.now()+time.Duration(reserveWaitShare*float64(pr.route.LatencyTarget)))
 	awaitedRow := false
-	started := pr.now()
-	defer func() {
-		if pr.entry.tokenWaits {
-			pr.entry.tokenWait = pr.now() - started
-		}
-	}()
 	for {
 		result := sh.Reserve(pr.now(), pr.team, tokens)
 		switch result {
@@ -59,10 +64,7 @@
 				WithRetryAfter(uncertainRetryAfter)
 		case quota.OverCeiling, quota.OverGrant:
 		}
-		if !pr.entry.tokenWaits {
-			pr.entry.tokenWaits = true
-			pr.gate.config.Metrics.Counter("weir_token_waits_total").Inc()
-		}
+		pr.entry.tokenWaits = true
 		switch {
 		case result == quota.OverCeiling && !awaitedRow && pr.gate.config.Beliefs.StoreReachable():
 			// The next grant row is written within milliseconds. Its ceiling starts above the tokens
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -160,9 +160,6 @@
 	if le.withheld > 0 || le.permitFrom != "" {
 		args = append(args, "withheld", le.withheld, "permitFrom", le.permitFrom)
 	}
-	if le.stopping {
-		args = append(args, "stopsIn", seconds(le.stopsIn))
-	}
 	if le.relayPeer != "" {
 		args = append(args, "relayedBy", le.relayPeer)
 	}
@@ -172,9 +169,7 @@
 	if le.firstEventAt > 0 {
 		args = append(args, "first", seconds(le.firstEventAt-pr.start))
 	}
-	if le.tokenWaits {
-		args = append(args, "tokenWait", seconds(le.tokenWait))
-	}
+	args = append(args, le.timeFields()...)
 	if pr.cost > 0 {
 		args = append(args, "tokens", pr.cost)
 	}
@@ -188,6 +183,18 @@
 	pr.gate.config.Logger.Info("request", append(args, more...)...)
 }
 
+// timeFields returns the times until the instance stops and until the tokens were reserved as fields of the log message, if they matter.
+func (le *logEntry) timeFields() []any {
+	var args []any
+	if le.stopping {
+		args = append(args, "stopsIn", seconds(le.stopsIn))
+	}
+	if le.tokenWaits {
+		args = append(args, "tokenWait", seconds(le.tokenWait))
+	}
+	return args
+}
+
 // balanceFields returns the team's balance as fields of the log message if a limited request failed before it was sent to an endpoint.
 func (pr *proxyRequest) balanceFields() []any {
 	if !pr.limited || !pr.info.Sized || pr.entry.status < http.StatusBadRequest || len(pr.entry.endpoints) > 0 {
--- a/pkg/quota/balance_fleet_test.go
+++ b/pkg/quota/balance_fleet_test.go
@@ -71,7 +71,6 @@
 	shard          *Shard
 	view           *keyed.View
 	nextAt, readAt time.Duration
-	steppedAt      time.Duration
 	pauseUntil     time.Duration
 }
 
--- a/pkg/quota/holders.go
+++ b/pkg/quota/holders.go
@@ -70,8 +70,8 @@
 			others = append(others, name)
 		}
 	}
-	names := append(high, others...)
-	return names[:min(len(names), maxHolders)]
+	high = append(high, others...)
+	return high[:min(len(high), maxHolders)]
 }
 
 // ownDemand returns the tokens a second that an instance spends itself for a team; it is zero for peers that are not active.
