--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -36,6 +36,8 @@
 	writtenOff int64
 	// waiting is the sum of the tokens that waiting requests need.
 	waiting int64
+	// waiters is the number of calls of AddWaiter less those of RemoveWaiter.
+	waiters int
 	// demand measures the rate of tokens spent here or lent to peers, ownDemand only the rate of those spent here.
 	demand    meter
 	ownDemand meter
@@ -96,7 +98,11 @@
 	ac.meanSize += (tokens - ac.meanSize) / meanSizeSamples
 }
 
+// notify lets waiting requests try again. Most requests end while none waits.
 func (ac *account) notify() {
+	if ac.waiters == 0 {
+		return
+	}
 	close(ac.changed)
 	ac.changed = make(chan struct{})
 }
--- a/pkg/quota/ahead.go
+++ b/pkg/quota/ahead.go
@@ -67,6 +67,9 @@
 // recordUse records a reservation of the team's tokens, after which the given number is free, and signals that a loan ahead is due.
 func (sh *Shard) recordUse(ac *account, now time.Duration, tokens, free int64) {
 	ac.use.add(now, tokens)
+	if free >= ac.use.refillBelow && now-ac.use.checkedAt < estimateInterval {
+		return
+	}
 	if sh.aheadAsk(ac, now, free) == 0 {
 		return
 	}
@@ -83,6 +86,7 @@
 		return 0
 	}
 	wb := sh.workingBalance(ac, now, free)
+	ac.use.checkedAt, ac.use.refillBelow = now, wb.target()*refillPercent/percent
 	if ac.use.estimate.assigned && ac.inForce != nil && now-ac.inForce.builtAt < 2*renewInterval {
 		// The next row of a holder raises its ceiling and moves its grant.
 		return 0
--- a/pkg/quota/balance.go
+++ b/pkg/quota/balance.go
@@ -120,6 +120,10 @@
 	pausedUntil time.Duration
 	// shortAt is the time of the last loan that fell short.
 	shortAt time.Duration
+	// refillBelow is the balance below which a loan ahead is due, as of checkedAt. With more, reservations need not compute it again for
+	// estimateInterval.
+	refillBelow int64
+	checkedAt   time.Duration
 	// estimate is the newest estimate of the team as a whole.
 	estimate teamEstimate
 }
--- a/pkg/quota/shard.go
+++ b/pkg/quota/shard.go
@@ -161,6 +161,7 @@
 	defer sh.mu.Unlock()
 	ac := sh.account(team)
 	ac.waiting += tokens
+	ac.waiters++
 	covered := ac.used()+tokens <= ac.granted()-sh.excess(team)
 	if covered || now-ac.needSignaledAt >= needInterval {
 		// If the grant covers the request, a new row of this instance is enough to raise the ceiling. For a larger grant the other instances
@@ -175,7 +176,9 @@
 func (sh *Shard) RemoveWaiter(team string, tokens int64) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	sh.account(team).waiting -= tokens
+	ac := sh.account(team)
+	ac.waiting -= tokens
+	ac.waiters--
 }
 
 // Waiting reports whether any request waits for tokens.
