--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -36,6 +36,17 @@
 	if !pr.info.Sized || !pr.limited {
 		return nil
 	}
+	started := pr.now()
+	err := pr.reserveTokens()
+	if pr.entry.tokenWaits {
+		pr.gate.config.Metrics.Counter("weir_token_waits_total").Inc()
+		pr.entry.tokenWait = pr.now() - started
+	}
+	return err
+}
+
+// reserveTokens carries out reserve for a limited request.
+func (pr *proxyRequest) reserveTokens() error {
 	tokens := pr.info.Prompt + pr.info.Output
 	giveUpAt := min(pr.deadline, pr.now()+time.Duration(reserveWaitShare*float64(pr.route.LatencyTarget)))
 	awaitedRow := false
@@ -52,6 +63,7 @@
 				WithRetryAfter(uncertainRetryAfter)
 		case quota.OverCeiling, quota.OverGrant:
 		}
+		pr.entry.tokenWaits = true
 		switch {
 		case result == quota.OverCeiling && !awaitedRow && pr.gate.config.Beliefs.StoreReachable():
 			// The next grant row is written within milliseconds. Its ceiling starts above the tokens
@@ -80,6 +92,7 @@
 
 // insufficientTokens returns the error for a team that has tokens left, but too few of them at this instance.
 func (pr *proxyRequest) insufficientTokens() error {
+	pr.gate.config.Metrics.Counter("weir_token_refusals_total").Inc()
 	retry := insufficientRetryAfter
 	if !pr.gate.config.Beliefs.StoreReachable() {
 		retry = outageRetryAfter
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -41,6 +41,10 @@
 	// stopsIn is the time until the instance stops when the request arrived, if stopping is set.
 	stopsIn  time.Duration
 	stopping bool
+	// tokenWait is the time until the tokens were reserved, or the request was refused for lack of them, if tokenWaits is set: this instance held
+	// too few when the request arrived.
+	tokenWait  time.Duration
+	tokenWaits bool
 	// quarantined reports whether the request was refused because it is expected to crash endpoints.
 	quarantined bool
 	// urgency is the urgency that was stated to the endpoint, or zero.
@@ -168,9 +172,6 @@
 		args = append(args, "withheld", le.withheld, "permitFrom", le.permitFrom)
 	}
 	args = append(args, le.loadFields(pr.returned)...)
-	if le.stopping {
-		args = append(args, "stopsIn", seconds(le.stopsIn))
-	}
 	if le.relayPeer != "" {
 		args = append(args, "relayedBy", le.relayPeer)
 	}
@@ -180,6 +181,7 @@
 	if le.firstEventAt > 0 {
 		args = append(args, "first", seconds(le.firstEventAt-pr.start))
 	}
+	args = append(args, le.timeFields()...)
 	if pr.cost > 0 {
 		args = append(args, "tokens", pr.cost)
 	}
@@ -194,6 +196,18 @@
 	pr.gate.config.Logger.Info("request", append(args, more...)...)
 }
 
+// timeFields returns the times until the instance stops and until the tokens were reserved as fields of the log message, if they matter.
+func (le *logEntry) timeFields() []any {
+	var args []any
+	if le.stopping {
+		args = append(args, "stopsIn", seconds(le.stopsIn))
+	}
+	if le.tokenWaits {
+		args = append(args, "tokenWait", seconds(le.tokenWait))
+	}
+	return args
+}
+
 // balanceFields returns the team's balance as fields of the log message if a limited request failed before it was sent to an endpoint.
 func (pr *proxyRequest) balanceFields() []any {
 	if !pr.limited || !pr.info.Sized || pr.entry.shed.Reason != "" || pr.entry.status < http.StatusBadRequest || len(pr.entry.endpoints) > 0 {
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -38,6 +38,8 @@
 	writtenOff int64
 	// waiting is the sum of the tokens that waiting requests need.
 	waiting int64
+	// waiters is the number of calls of AddWaiter less those of RemoveWaiter.
+	waiters int
 	// demand measures the rate of tokens spent here or lent to peers, ownDemand only the rate of those spent here.
 	demand    meter
 	ownDemand meter
@@ -48,12 +50,14 @@
 	// lent and received are the tokens sent to peers and received from peers; such transfers have no row in the topic.
 	lent     int64
 	received int64
+	// use measures the reservations here and controls the loans ahead.
+	use usage
 	// changed is closed and replaced to signal waiting requests to try again.
 	changed chan struct{}
 }
 
 func newAccount(team string) *account {
-	return &account{team: team, changed: make(chan struct{})}
+	return &account{team: team, use: newUsage(), changed: make(chan struct{})}
 }
 
 // used returns the tokens that count against the grant: those spent, reserved or lent, less those received from peers.
@@ -99,7 +103,11 @@
 	ac.meanSize += (tokens - ac.meanSize) / meanSizeSamples
 }
 
+// notify lets waiting requests try again. Most requests end while none waits.
 func (ac *account) notify() {
+	if ac.waiters == 0 {
+		return
+	}
 	close(ac.changed)
 	ac.changed = make(chan struct{})
 }
--- a/pkg/quota/build.go
+++ b/pkg/quota/build.go
@@ -143,7 +143,8 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	stamp := sh.stamp()
-	for team := range sh.totals {
+	// In the order of the names, since estimates are kept for a while and this returns at the first row that is due.
+	for _, team := range slices.Sorted(maps.Keys(sh.totals)) {
 		ac := sh.account(team)
 		if sh.due(ac, sh.nextRow(ac, now, stamp), now) {
 			return true
@@ -192,14 +193,14 @@
 	slack = min(slack, max(0, granted-ac.used())*maxLossPercent/percent) + ac.waiting
 	slack = max(slack, max(0, granted-ac.used())/idleSlackDivisor)
 	free := max(0, granted-ac.used())
-	return Row{
+	return sh.withBalance(ac, now, Row{
 		MaxCeiling: ac.used() + max(slack, free*maxCeilingPercent/percent),
 		Granted:    granted, Base: ac.used() + slack, Rate: rate, Delay: ceilingDelay,
 		Spent: ac.totalSpent(), WrittenOff: ac.writtenOff, Demand: demand,
 		BurstRate: demand * burstRatePercent / percent, BurstDelay: burstDelay, Need: ac.waiting,
 		Wall: stamp.Wall.UnixMilli(), Boot: stamp.Boot.Milliseconds(), Incarnation: sh.config.Incarnation,
 		OwnDemand: ac.ownDemand.perSecond(now), NetLent: ac.netLent(),
-	}
+	})
 }
 
 // unknownAge stands for the age of a row that the clocks do not tell.
