--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,6 +21,9 @@
 	// versions are the software versions of the endpoints.
 	versions   []string
 	candidates int
+	// examined is the number of candidates that the last decision compared, and prefillRate the learned prefill rate that it used.
+	examined    int
+	prefillRate float64
 	// timeToFirstEvent and queueTime are the estimates that were made when the last endpoint was chosen.
 	timeToFirstEvent time.Duration
 	queueTime        time.Duration
@@ -44,7 +48,7 @@
 }
 
 func (le *logEntry) recordDecision(de place.Decision) {
-	le.candidates = de.Candidates
+	le.candidates, le.examined, le.prefillRate = de.Candidates, de.Examined, de.PrefillRate
 	le.timeToFirstEvent, le.queueTime = de.TimeToFirstEvent, de.QueueTime
 	le.uncachedTokens = de.UncachedTokens
 	le.withheld, le.permitFrom = de.Withheld, de.PermitFrom
@@ -148,7 +152,7 @@
 	if le.candidates > 0 {
 		args = append(args, "endpoints", strings.Join(le.endpoints, ","), "versions", strings.Join(le.versions, ","), "candidates", le.candidates,
 			"expected", seconds(le.timeToFirstEvent), "wait", seconds(le.queueTime), "unread", le.uncachedTokens,
-			"registrationsAge", seconds(pr.gate.config.Roster.Age(now)))
+			"examined", le.examined, "prefillRate", math.Round(10*le.prefillRate)/10, "registrationsAge", seconds(pr.gate.config.Roster.Age(now)))
 	}
 	if pr.info.LastEvent > 0 || pr.info.Resumes != "" {
 		args = append(args, "resumes", pr.info.Resumes, "lastEvent", pr.info.LastEvent, "versionFrom", le.buildSource)
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -170,6 +170,9 @@
 	now := pr.now()
 	de := fw.pick(fw.tried)
 	pr.entry.recordDecision(de)
+	if de.Examined < de.Candidates && de.Endpoint != nil {
+		cf.Metrics.Counter("weir_sampled_decisions_total").Inc()
+	}
 	if de.Endpoint == nil {
 		if de.Withheld > 0 {
 			cf.Metrics.Counter("weir_rate_limited_refusals_total").Inc()
--- a/pkg/place/balancer.go
+++ b/pkg/place/balancer.go
@@ -140,6 +140,10 @@
 	es := ba.estimate(se.Name)
 	weight := prefillWeight(now, es, ba.candidates, rq)
 	best := Decision{Candidates: len(ix.list), Withheld: len(ba.withheld), Reason: "least expected time"}
+	best.Examined = len(ba.candidates)
+	if rq.Prompt > 0 {
+		best.PrefillRate = es.rate
+	}
 	least := time.Duration(0)
 	ix.best.count = 0
 	for _, ca := range ba.candidates {
--- a/pkg/place/refuse.go
+++ b/pkg/place/refuse.go
@@ -30,6 +30,6 @@
 	return Decision{
 		Reason:           "no endpoint is expected to answer in time",
 		RetryAfter:       min(maxRetryAfter, max(minRetryAfter, de.TimeToFirstEvent-rq.TimeLeft/2, de.QueueTime)),
-		TimeToFirstEvent: de.TimeToFirstEvent, QueueTime: de.QueueTime, UncachedTokens: de.UncachedTokens, Candidates: de.Candidates,
+		TimeToFirstEvent: de.TimeToFirstEvent, QueueTime: de.QueueTime, UncachedTokens: de.UncachedTokens, Candidates: de.Candidates, Examined: de.Examined, PrefillRate: de.PrefillRate,
 	}
 }
--- a/pkg/place/request.go
+++ b/pkg/place/request.go
@@ -75,6 +75,10 @@
 	CopyTokens int64
 	// Candidates is the number of endpoints in the list given to Pick.
 	Candidates int
+	// Examined is the number of endpoints that the decision compared, which is smaller than Candidates if the list is long (see maxScanned).
+	Examined int
+	// PrefillRate is the learned prefill rate of the service, in tokens a millisecond; zero for plain services.
+	PrefillRate float64
 	// Withheld is the number of endpoints that could not be chosen because this instance had no permit for their rate limits.
 	Withheld int
 	// PermitFrom is the instance that issued the permit with which the request is sent, or empty if the endpoint has no rate limit.
