Quota: lenders can lend more while the store is away, and borrowers call them less

Change: that slack is a fiftieth of the unused grant instead of a sixtieth; after repeated shortfalls a borrower pauses up to 0.6 s, and a third of a loan ahead is enough.

--- a/pkg/quota/ahead.go
+++ b/pkg/quota/ahead.go
@@ -18,7 +18,7 @@
 
 // Enough returns the number of tokens from which on no further lender is asked. A lender gives a part of its surplus, so that the whole
 // loan would often take the calls of all lenders.
-func (la LoanAhead) Enough() int64 { return (la.Tokens + 1) / 2 }
+func (la LoanAhead) Enough() int64 { return (la.Tokens + 2) / 3 }
 
 // Ahead returns a channel that receives a value when TakeAhead should be called.
 func (sh *Shard) Ahead() <-chan struct{} { return sh.ahead.signal }
@@ -58,10 +58,13 @@
 	defer sh.mu.Unlock()
 	ac := sh.account(loan.Team)
 	ac.use.inFlight = false
-	if got < loan.Enough() {
-		ac.use.pausedUntil, ac.use.shortAt = now+aheadPause, now
-		sh.signalUrgent()
+	if got >= loan.Enough() {
+		ac.use.pause = 0
+		return
 	}
+	ac.use.pause = min(maxAheadPause, max(aheadPause, 2*ac.use.pause))
+	ac.use.pausedUntil, ac.use.shortAt = now+ac.use.pause, now
+	sh.signalUrgent()
 }
 
 // recordUse records a reservation of the team's tokens, after which the given number is free, and signals that a loan ahead is due.
--- a/pkg/quota/balance.go
+++ b/pkg/quota/balance.go
@@ -29,8 +29,10 @@
 	idleSpan = 5 * time.Second
 	// excessFactor makes a balance too large when it exceeds excessFactor * target for idleSpan after the last loan.
 	excessFactor = 2
-	// aheadPause is the pause after a loan ahead that fell short. Lenders raise their ceilings with their next rows.
-	aheadPause = 150 * time.Millisecond
+	// aheadPause is the pause after a loan ahead that fell short. Lenders raise their ceilings with their next rows. The pause doubles with each further
+	// shortfall up to maxAheadPause: while the store is unreachable, ceilings rise slowly, and most calls to lenders would bring nothing.
+	aheadPause    = 150 * time.Millisecond
+	maxAheadPause = 600 * time.Millisecond
 	// minReadInterval is the minimum time between two reads of the topic because loans fall short.
 	minReadInterval = 100 * time.Millisecond
 	// fastHalfLife is the half-life of the faster average of the demand for loans, so that a burst raises the target within a second.
@@ -116,7 +118,9 @@
 	// reservedAt is the time of the last reservation, and borrowedAt that of the last call to borrow.
 	reservedAt, borrowedAt time.Duration
 	// inFlight is set while a call for a loan ahead is in flight; pausedUntil is the end of the pause after one that fell short.
-	inFlight    bool
+	inFlight bool
+	// pause is the length of the last pause after a shortfall, zero after a sufficient loan.
+	pause       time.Duration
 	pausedUntil time.Duration
 	// shortAt is the time of the last loan that fell short.
 	shortAt time.Duration
--- a/pkg/quota/build.go
+++ b/pkg/quota/build.go
@@ -57,7 +57,7 @@
 	// idleSlackDivisor and idleRateDivisor set minimums that also hold without demand: the minimum slack, (granted - used) / idleSlackDivisor
 	// tokens, and the minimum rate at which the ceiling rises, (granted - used) / idleRateDivisor tokens a second. Teams with much left for
 	// their demand lose these when all instances are killed: with 30 for both, 3 to 4 percent of what is left instead of 2.
-	idleSlackDivisor = 60
+	idleSlackDivisor = 50
 	idleRateDivisor  = 50
 	percent          = 100
 	// grantedPercent is the percentage of a team's remaining tokens that is granted in advance; the other tokens are kept for sudden
