Quota: instances without a row report what they spent of borrowed tokens

Cause: no row says what instances without one spend, so that a team which had spent its total seemed to have tokens left. Change: the spending is reported to a lender by a datagram. The tokens used at both sides stay the same, whatever becomes of the report.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -230,6 +230,10 @@
 		ed.returns.applyNotice(nt.Returns)
 		return
 	}
+	if len(nt.Spending) > 0 {
+		ed.transfers.applySpending(nt.Spending)
+		return
+	}
 	if nt.Rejected != "" {
 		ed.balancer.RecordPeerRejection(ed.config.Clock(), nt.Rejected)
 		return
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -67,6 +67,7 @@
 			delay = min(delay, 2*minGrantPause)
 		}
 		gs.edge.transfers.returnSurplus(ctx, gs.quota)
+		gs.edge.transfers.reportSpending(gs.quota)
 		size := gs.edge.fleetSize(gs.edge.config.Clock())
 		gs.edge.retryBudget.SetInstances(size)
 		gs.edge.balancer.SetInstances(size)
--- a/internal/edge/transfers.go
+++ b/internal/edge/transfers.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/clementineweir/clementineweir/internal/mesh"
 	"github.com/clementineweir/clementineweir/pkg/quota"
 )
 
@@ -125,3 +126,22 @@
 		lo.Info("tokens sent", "team", su.Team, "tokens", su.Tokens, "holder", su.Holder)
 	}
 }
+
+// reportSpending tells lenders which of their tokens were spent here, if no row of this instance says so.
+func (tf *transfers) reportSpending(sh *quota.Shard) {
+	for _, re := range sh.TakeSpendingReports(tf.edge.config.Clock()) {
+		notice := mesh.Notice{Spending: []mesh.SpendingNotice{{Team: re.Team, Tokens: re.Tokens}}}
+		if err := tf.edge.notifier.SendTo([]string{re.Lender}, notice); err != nil {
+			tf.edge.metrics.Counter("weir_spending_reports_lost_total").Inc()
+			continue
+		}
+		tf.edge.metrics.Counter("weir_spending_reports_total").Inc()
+	}
+}
+
+// applySpending counts tokens that this instance lent as spent.
+func (tf *transfers) applySpending(list []mesh.SpendingNotice) {
+	for _, sn := range list {
+		tf.edge.quotas.Shard(sn.Team).ApplySpendingReport(sn.Team, sn.Tokens)
+	}
+}
--- a/internal/mesh/notifier.go
+++ b/internal/mesh/notifier.go
@@ -48,6 +48,17 @@
 	Leaving string `cbor:"9,keyasint,omitempty"`
 	// Returns is set instead of the other fields if the notice is of refused callers that will come back; builds that do not know it discard the notice.
 	Returns []ReturnNotice `cbor:"10,keyasint,omitempty"`
+	// Spending is set instead of the other fields if the notice is of spent tokens that the receiver lent; builds that do not know it discard the
+	// notice.
+	Spending []SpendingNotice `cbor:"11,keyasint,omitempty"`
+}
+
+// SpendingNotice tells an instance that tokens which it lent were spent (see quota.SpendingReport).
+type SpendingNotice struct {
+	// Team is the name of the team.
+	Team string `cbor:"1,keyasint"`
+	// Tokens is the number of tokens.
+	Tokens int64 `cbor:"2,keyasint"`
 }
 
 // ReturnNotice tells the others that an instance has refused a request, and when its caller comes back with it.
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -50,6 +50,8 @@
 	// lent and received are the tokens sent to peers and received from peers; such transfers have no row in the topic.
 	lent     int64
 	received int64
+	// reportedAt is the time of the last report of spending (see TakeSpendingReports).
+	reportedAt time.Duration
 	// use measures the reservations here and controls the loans ahead.
 	use usage
 	// changed is closed and replaced to signal waiting requests to try again.
--- a/pkg/quota/property_test.go
+++ b/pkg/quota/property_test.go
@@ -355,6 +355,14 @@
 				to.shard.Receive(testTeam, lent)
 			}
 		},
+		"report": func(tt *rapid.T) {
+			from, to := si.instances[index.Draw(tt, "from")], si.instances[index.Draw(tt, "to")]
+			for _, re := range from.shard.TakeSpendingReports(si.now) {
+				for range rapid.IntRange(0, 2).Draw(tt, "copies") {
+					to.shard.ApplySpendingReport(re.Team, re.Tokens)
+				}
+			}
+		},
 		"return": func(tt *rapid.T) {
 			from, to := si.instances[index.Draw(tt, "from")], si.instances[index.Draw(tt, "to")]
 			for _, su := range from.shard.ReleaseSurpluses(si.now, rapid.Bool().Draw(tt, "unreachable"), func(string) bool { return false }) {
