Place, gate: the time to the first event is learned; a flooded instance sends callers elsewhere

Change: the time to the first event of an empty prompt is learned for each service, as the lower quartile of short prompts at endpoints with free slots. The delay that is not counted against endpoints includes the queue of the link.

--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -19,7 +19,7 @@
 	bytesPerMegabit = 1e6 / 8
 )
 
-// lagSink takes the lag of this instance, so that its own delay is not counted against endpoints.
+// lagSink takes the delay of this instance, so that its own delay is not counted against endpoints.
 type lagSink interface {
 	SetLag(now, lag time.Duration)
 }
@@ -82,7 +82,7 @@
 	ov.shedder.RecordCPU(now, processorTime())
 	ov.shedder.RecordLag(now, lag)
 	if ov.sink != nil {
-		ov.sink.SetLag(now, ov.shedder.Lag(now))
+		ov.sink.SetLag(now, ov.shedder.Delay(now))
 	}
 	ov.report(now)
 }
--- a/internal/gate/returns.go
+++ b/internal/gate/returns.go
@@ -29,6 +29,9 @@
 		return fa
 	}
 	cf := pr.gate.config
+	if delay, ok := cf.Shedder.Elsewhere(pr.timeLeft()); ok && !pr.shortage.tokens {
+		return fa.WithRetryAfter(delay)
+	}
 	sl := cf.Turns.Refuse(pr.now(), turn.Caller{
 		Service: pr.service.Name, Team: pr.team, Tokens: pr.shortage.tokens, Content: pr.content, Rank: pr.rank, TimeLeft: pr.timeLeft(),
 		Soonest: fa.RetryAfter(), Returned: pr.returned,
--- a/internal/gate/returns_test.go
+++ b/internal/gate/returns_test.go
@@ -26,7 +26,7 @@
 func TestReturnAfterRefusal(tt *testing.T) {
 	now := time.Second
 	sn := &stubNotifier{}
-	ga := &gate{config: Config{Turns: turn.New(), Notifier: sn, Metrics: NewMetrics(), Clock: func() time.Duration { return now }}}
+	ga := &gate{config: Config{Turns: turn.New(), Shedder: unlimited{}, Notifier: sn, Metrics: NewMetrics(), Clock: func() time.Duration { return now }}}
 	arrive := func(id string, part uint64) *proxyRequest {
 		pr := &proxyRequest{
 			gate: ga, httpRequest: httptest.NewRequest("POST", "/path", nil), body: []byte("body"), route: &plan.Route{}, service: &plan.Service{Name: "service"},
--- a/internal/gate/room.go
+++ b/internal/gate/room.go
@@ -19,7 +19,7 @@
 	pr := fw.request
 	cf := pr.gate.config
 	wait := pr.route.LatencyTarget / roomWaitShare
-	if fw.attempts > 0 || len(fw.tried) > 0 || wait <= 0 || !lacksCapacity(refusal) || !mayHelp(refusal, pr.placement(nil), wait) {
+	if _, elsewhere := cf.Shedder.Elsewhere(pr.timeLeft()); elsewhere || fw.attempts > 0 || len(fw.tried) > 0 || wait <= 0 || !lacksCapacity(refusal) || !mayHelp(refusal, pr.placement(nil), wait) {
 		return refusal
 	}
 	start := pr.now()
--- a/internal/gate/shed.go
+++ b/internal/gate/shed.go
@@ -19,6 +19,8 @@
 	End(now time.Duration)
 	// RecordWrite records that a number of bytes was written to the link, and for how long the write blocked.
 	RecordWrite(now time.Duration, bytes int, blocked time.Duration)
+	// Elsewhere reports whether a request that seems to have no chance here should be retried at another instance, and after which delay.
+	Elsewhere(timeLeft time.Duration) (time.Duration, bool)
 }
 
 // unlimited is a Shedder that takes all requests.
@@ -32,6 +34,8 @@
 
 func (unlimited) RecordWrite(time.Duration, int, time.Duration) {}
 
+func (unlimited) Elsewhere(time.Duration) (time.Duration, bool) { return 0, false }
+
 // checkLoad refuses the request if this instance is overloaded, so that its caller retries at another one. It is called before the body is read and tokens are
 // reserved.
 func (pr *proxyRequest) checkLoad() error {
--- a/pkg/place/attempt.go
+++ b/pkg/place/attempt.go
@@ -19,8 +19,10 @@
 	workAtStart  float64
 	// lagAtStart is the lag of this instance at startedAt.
 	lagAtStart time.Duration
-	// measuresRate is true if the time to the first event measures the prefill rate of the endpoint.
-	measuresRate bool
+	// measuresRate is true if the time to the first event measures the prefill rate of the endpoint, and measuresBase if it measures the base of the service.
+	measuresRate, measuresBase bool
+	// baseAtStart is the learned base when the endpoint was chosen.
+	baseAtStart time.Duration
 	// expectedUncached is the number of prompt tokens to prefill, as estimated when the endpoint was chosen.
 	expectedUncached int64
 	gotFirstEvent    bool
@@ -38,7 +40,7 @@
 	if st.running == 0 {
 		st.lastActivity.Store(int64(now))
 	}
-	measuresRate := st.measuresRate(now, se, rq, de)
+	measuresRate, measuresBase := st.measuresRate(now, se, rq, de), st.measuresBase(now, se, rq, de)
 	st.takeRoom(now, se, &ba.fleet)
 	st.running++
 	ba.fleet.service(st.endpoint.Service).change(now, 1)
@@ -53,6 +55,7 @@
 	work := st.work.factor(now)
 	return &Attempt{
 		balancer: ba, state: st, request: rq, startedAt: now, workAtStart: work, lagAtStart: ba.lag.at(now), measuresRate: measuresRate,
+		measuresBase: measuresBase, baseAtStart: st.service.base,
 		usualFirstEvent: st.work.shrink(work, de.TimeToFirstEvent), expectedUncached: de.UncachedTokens, epoch: ba.epoch,
 	}
 }
@@ -76,6 +79,9 @@
 	}
 	usual := time.Duration(float64(at.usualFirstEvent) / at.state.slowness)
 	at.state.recordTime(usual, measured)
+	if at.measuresBase {
+		at.state.service.recordBase(measured, usual-at.baseAtStart)
+	}
 	if at.measuresRate && usual > 0 {
 		at.balancer.recordRate(now, at.state, float64(measured)/float64(usual))
 	}
--- a/pkg/place/balancer.go
+++ b/pkg/place/balancer.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// firstEventBase is the time to the first event of a request with an empty prompt at an idle endpoint.
-	firstEventBase = 8 * time.Millisecond
 	// quadraticTime sets the quadratic part of the prefill time, which attention causes: uncached * prompt / 1e6 * quadraticTime. Here
 	// uncached and prompt are numbers of tokens.
 	quadraticTime = 250 * time.Microsecond
--- a/pkg/place/load.go
+++ b/pkg/place/load.go
@@ -34,6 +34,8 @@
 	// rate is the learned prefill rate of the median endpoint in tokens a millisecond, and correctedAt the time of its last correction.
 	rate        float64
 	correctedAt time.Duration
+	// base is the learned time to the first event of a request with an empty prompt at an idle endpoint.
+	base time.Duration
 	// ratios is used by correctRate.
 	ratios []float64
 	// hold is the moving average of the time from the first to the last event, zero before any was measured.
@@ -44,7 +46,7 @@
 func (ba *Balancer) estimate(service string) *estimate {
 	es, ok := ba.estimates[service]
 	if !ok {
-		es = &estimate{rate: initialPrefillRate}
+		es = &estimate{rate: initialPrefillRate, base: initialFirstEventBase}
 		ba.estimates[service] = es
 	}
 	return es
@@ -164,7 +166,7 @@
 	slots := slotsOf(st, se)
 	queueTime = st.service.prefillTime(st.backlog(now))
 	prefill := st.service.prefillTime(uncached) + attentionTime(uncached, rq.Prompt)
-	toFirstEvent = firstEventBase + queueTime + prefill + time.Duration(min(inFlight, slots))*perRequestTime
+	toFirstEvent = st.service.base + queueTime + prefill + time.Duration(min(inFlight, slots))*perRequestTime
 	if over := inFlight + 1 - slots; over > 0 {
 		toFirstEvent += time.Duration(over) * st.service.slotTime(slots)
 	}
--- a/pkg/place/rate.go
+++ b/pkg/place/rate.go
@@ -27,6 +27,16 @@
 	rateInterval = 100 * time.Millisecond
 	// rateGain is the share of a deviation by which one correction changes the learned rate, if enough endpoints were measured.
 	rateGain = 0.5
+
+	// initialFirstEventBase is the assumed time to the first event of a request with an empty prompt at an idle endpoint, before any was measured.
+	initialFirstEventBase = 8 * time.Millisecond
+	// minFirstEventBase and maxFirstEventBase bound the learned time.
+	minFirstEventBase, maxFirstEventBase = 2 * time.Millisecond, 500 * time.Millisecond
+	// maxBaseTokens is the maximum number of uncached tokens of a request from which the base is learned; they take a few milliseconds.
+	maxBaseTokens = 500
+	// baseStepUp and baseStepDown are the shares by which one measured time raises or lowers the learned base. Their ratio makes it the lower quartile of the
+	// measured times: an endpoint that is disturbed for a moment, or busier than it said, takes longer.
+	baseStepUp, baseStepDown = 0.02, 0.06
 )
 
 // prefillTime returns the time to prefill a number of tokens at an endpoint of the usual speed.
@@ -87,3 +97,18 @@
 	return de.UncachedTokens >= minRateTokens && de.CopyTokens == 0 && float64(own) >= minOwnShare*float64(de.UncachedTokens) &&
 		float64(st.backlog(now)) <= maxRateBacklog*float64(de.UncachedTokens) && st.inFlight(now) < slotsOf(st, se)
 }
+
+// measuresBase reports whether the time to the first event of a request that is sent now measures the base: it has few uncached tokens, and the endpoint has
+// many free slots and no prompt to prefill before it.
+func (st *state) measuresBase(now time.Duration, se *plan.Service, rq Request, de Decision) bool {
+	return rq.Prompt > 0 && de.UncachedTokens <= maxBaseTokens && de.CopyTokens == 0 && st.backlog(now) == 0 && 2*st.inFlight(now) < slotsOf(st, se)
+}
+
+// recordBase moves the learned base by a measured time to the first event, of which rest is what the prompt and the other requests usually take.
+func (es *estimate) recordBase(measured, rest time.Duration) {
+	share := baseStepUp
+	if measured-rest < es.base {
+		share = -baseStepDown
+	}
+	es.base = min(max(minFirstEventBase, es.base+time.Duration(share*float64(es.base))), maxFirstEventBase)
+}
--- a/pkg/place/rate_test.go
+++ b/pkg/place/rate_test.go
@@ -37,7 +37,7 @@
 		at := ba.Begin(now, model, rq, de)
 		var index int
 		_, _ = fmt.Sscanf(de.Endpoint.ID, "endpoint-%d", &index)
-		usual := firstEventBase + time.Duration(float64(rq.Prompt)/rate*float64(time.Millisecond)) + attentionTime(rq.Prompt, rq.Prompt)
+		usual := initialFirstEventBase + time.Duration(float64(rq.Prompt)/rate*float64(time.Millisecond)) + attentionTime(rq.Prompt, rq.Prompt)
 		now += time.Duration(float64(usual)*unevenFactors[index%len(unevenFactors)]) + 2*lag
 		if lag > 0 {
 			ba.SetLag(now, lag)
@@ -113,3 +113,46 @@
 		tt.Errorf("after a later time of twice the expected, %s are expected, want more than %s", got, de.TimeToFirstEvent)
 	}
 }
+
+// TestLearnedFirstEventBase guards against endpoints whose first event takes long, whatever the prompt: with a constant base, their prefill rate seemed to be
+// a third of the real one, so that the queue of an endpoint seemed three times as long and requests were refused in vain.
+func TestLearnedFirstEventBase(tt *testing.T) {
+	const rate = 82.0
+	for _, base := range []time.Duration{4 * time.Millisecond, 26 * time.Millisecond, 50 * time.Millisecond} {
+		tt.Run(base.String(), func(tt *testing.T) {
+			ba, list, now := NewBalancer(), endpoints(10), time.Second
+			for number := range 1200 {
+				tokens := int64(200)
+				if number%2 == 0 {
+					tokens = int64(2500 + number%7*1000)
+				}
+				rq := Request{Prompt: tokens, Output: 10, Domain: "zone-a", TimeLeft: time.Second, Parts: []Part{{ID: uint64(1e6 + number), Tokens: tokens}}}
+				for index, en := range list {
+					if index != number/2%10 && index != number*3%10 {
+						rq.Tried = append(rq.Tried, en.ID)
+					}
+				}
+				de := ba.Pick(now, model, list, rq)
+				if de.Endpoint == nil {
+					tt.Fatalf("request %d was refused by idle endpoints: %s", number, de.Reason)
+				}
+				at := ba.Begin(now, model, rq, de)
+				usual := base + time.Duration(float64(tokens)/rate*float64(time.Millisecond)) + attentionTime(tokens, tokens)
+				if number%7 == 0 {
+					// The endpoint is disturbed for a moment.
+					usual *= 2
+				}
+				now += usual
+				at.RecordFirstEvent(now)
+				at.End(now, Canceled)
+			}
+			es := ba.estimate(model.Name)
+			if es.base < base*7/10 || es.base > base*14/10 {
+				tt.Errorf("learned base %s, want about %s", es.base, base)
+			}
+			if es.rate < rate*0.7 || es.rate > rate*1.4 {
+				tt.Errorf("learned rate %.1f tokens a ms, want about %.1f", es.rate, rate)
+			}
+		})
+	}
+}
--- a/pkg/shed/shed.go
+++ b/pkg/shed/shed.go
@@ -154,12 +154,32 @@
 	if !co.shedding || !sh.late(now, rq) || sh.random.Float64() >= sh.refusedShare(now, cl) {
 		return Verdict{Admitted: true}
 	}
-	latest := max(0, min(maxRetryAfter, rq.TimeLeft/retryShare))
+	return Verdict{Reason: co.reason, Lag: sh.lag.median(), Level: co.level, RetryAfter: sh.retryAfter(rq.TimeLeft)}
+}
+
+// retryAfter returns a random delay for a caller with the given time left.
+func (sh *Shedder) retryAfter(timeLeft time.Duration) time.Duration {
+	latest := max(0, min(maxRetryAfter, timeLeft/retryShare))
 	earliest := min(minRetryAfter, latest)
-	return Verdict{
-		Reason: co.reason, Lag: sh.lag.median(), Level: co.level,
-		RetryAfter: earliest + time.Duration(sh.random.Int64N(int64(latest-earliest)+1)),
+	return earliest + time.Duration(sh.random.Int64N(int64(latest-earliest)+1))
+}
+
+// Elsewhere reports whether a request that seems to have no chance here should be retried at another instance, and after which delay. While this instance is
+// at a limit, its own delay makes endpoints seem late, and its backlog is one of requests that it has not got on with.
+func (sh *Shedder) Elsewhere(timeLeft time.Duration) (time.Duration, bool) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if !sh.controller.shedding && sh.controller.pressedFor == 0 {
+		return 0, false
 	}
+	return sh.retryAfter(timeLeft), true
+}
+
+// Delay returns by how much this instance delays what it sends and reads now: its lag, and the queue of its link.
+func (sh *Shedder) Delay(now time.Duration) time.Duration {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.lag.current(now) + sh.link.delay(now, sh.config.LinkBytesPerSecond)
 }
 
 // late reports whether the request would lose so much time at this instance that it should be retried elsewhere. While requests are refused, the lag counts as
--- a/pkg/shed/shed_test.go
+++ b/pkg/shed/shed_test.go
@@ -204,3 +204,26 @@
 		tt.Errorf("refused: %v, want resumed streams last, but not never", refused)
 	}
 }
+
+// TestRetryElsewhere guards against callers of a flooded instance that are told to come back when it has room: another instance has room at once.
+func TestRetryElsewhere(tt *testing.T) {
+	sh := New(Config{Cores: 0.1, Seed: 1})
+	if delay, ok := sh.Elsewhere(time.Second); ok {
+		tt.Errorf("an idle instance sends callers elsewhere after %s", delay)
+	}
+	now := time.Duration(0)
+	for range 200 {
+		now += 40 * time.Millisecond
+		sh.RecordCPU(now, now/10)
+		sh.RecordLag(now, 150*time.Millisecond)
+	}
+	for _, left := range []time.Duration{120 * time.Millisecond, 10 * time.Second} {
+		delay, ok := sh.Elsewhere(left)
+		if !ok || delay > left/retryShare || delay > maxRetryAfter || delay <= 0 {
+			tt.Errorf("with %s left: delay %s, %t, want a short delay that the caller honors", left, delay, ok)
+		}
+	}
+	if got := sh.Delay(now); got < 150*time.Millisecond {
+		tt.Errorf("the delay is %s, want the lag at least", got)
+	}
+}
