--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/clementineweir/clementineweir/pkg/quota"
 	"github.com/clementineweir/clementineweir/pkg/retry"
 	"github.com/clementineweir/clementineweir/pkg/roster"
+	"github.com/clementineweir/clementineweir/pkg/turn"
 )
 
 // grantShards is the number of partitions of the grant topic. Teams are spread over them, since a partition takes only one append every few
@@ -105,6 +106,8 @@
 	balancer        *place.Balancer
 	quotas          *quota.Set
 	retryBudget     *retry.Budget
+	turns           *turn.Schedule
+	returns         *returns
 	pool            *conns.Pool
 	paths           *paths
 	metrics         *gate.Metrics
@@ -131,6 +134,7 @@
 		config: cf, roster: roster.New(), balancer: place.NewBalancer(), metrics: gate.NewMetrics(),
 		quotas:      quota.NewSet(grantShards, quota.Config{Instance: cf.Settings.Name, Incarnation: incarnation, FirstStart: cf.Settings.FirstStart}, now, cf.Stamp),
 		retryBudget: retry.New(retryConfig(cf.Settings), now),
+		turns:       turn.New(),
 	}
 	ed.grace.Store(int64(cf.Settings.Grace))
 	ed.stopped, ed.stopServing = context.WithCancel(context.Background())
@@ -159,6 +163,7 @@
 	ed.transfers = &transfers{edge: ed, shortfallAt: map[string]time.Duration{}}
 	ed.permits = newPermits(ed)
 	ed.origins = newOrigins(ed)
+	ed.returns = newReturns(ed)
 	ed.configWatcher = newConfigWatcher(ed)
 	ed.endpointWatcher = newEndpointWatcher(ed)
 	for ix, sh := range ed.quotas.Shards() {
@@ -215,6 +220,10 @@
 		ed.origins.applyNotice(nt.Origins)
 		return
 	}
+	if len(nt.Returns) > 0 {
+		ed.returns.applyNotice(nt.Returns)
+		return
+	}
 	if nt.Rejected != "" {
 		ed.balancer.RecordPeerRejection(ed.config.Clock(), nt.Rejected)
 		return
@@ -292,7 +301,7 @@
 	var group run.Group
 	loops := []func(context.Context) error{
 		ed.configWatcher.run, ed.endpointWatcher.run, ed.servers.run, ed.servers.runReadiness, ed.servers.runPeers, ed.runSweep, ed.runReload,
-		ed.notifier.RunSend, ed.notifier.RunReceive, ed.permits.run, ed.paths.run, ed.origins.log.run,
+		ed.notifier.RunSend, ed.notifier.RunReceive, ed.permits.run, ed.paths.run, ed.origins.log.run, ed.returns.run,
 	}
 	for _, gs := range ed.grantSyncs {
 		loops = append(loops, gs.run)
