Spill: leaving the failure domain costs more while the own one answers in time

Cause: an endpoint in another failure domain cost a constant of 5 ms, whatever the load of the domains and the size of the request. Change: pkg/spill observes the expected times in the domains at most each 100 ms and gives the cost of leaving; the balancer adds it.

--- a/pkg/place/attempt.go
+++ b/pkg/place/attempt.go
@@ -129,6 +129,7 @@
 		st.circuit.End(now, false)
 		st.recordFailure(now, 1)
 	case Declined:
+		at.balancer.spillover.spill.Refused(now, st.endpoint.Service, st.endpoint.Domain)
 		st.circuit.End(now, false)
 		st.recordFailure(now, 0.5)
 	case Incomplete:
--- a/pkg/place/balancer.go
+++ b/pkg/place/balancer.go
@@ -8,6 +8,7 @@
 
 	"github.com/clementineweir/clementineweir/pkg/plan"
 	"github.com/clementineweir/clementineweir/pkg/roster"
+	"github.com/clementineweir/clementineweir/pkg/spill"
 )
 
 const (
@@ -16,8 +17,6 @@
 	// quadraticTime sets the quadratic part of the prefill time, which attention causes: uncached * prompt / 1e6 * quadraticTime. Here
 	// uncached and prompt are numbers of tokens.
 	quadraticTime = 250 * time.Microsecond
-	// crossDomainTime is added to the cost of an endpoint in another failure domain, for the round trip and the transfer.
-	crossDomainTime = 5 * time.Millisecond
 	// failurePenalty is added to the cost of an endpoint for each recent failure.
 	failurePenalty = 300 * time.Millisecond
 	// prefixMissShare is the part of a shared prefix that is assumed to be missing from the cache of its holder (see prefixHolder). If this
@@ -62,6 +61,8 @@
 	latest  *index
 	// epoch is the number of calls of ForgetLoad.
 	epoch int
+	// spillover decides which requests leave the failure domain.
+	spillover spillover
 }
 
 // candidate is an endpoint that may get a request.
@@ -74,7 +75,7 @@
 
 // NewBalancer returns a balancer that knows nothing of any endpoint.
 func NewBalancer() *Balancer {
-	return &Balancer{states: map[string]*state{}, limits: newRateLimits(), fleet: fleet{instances: 1, random: newRandom(""), usage: map[string]*usage{}}, brittle: map[string]brittleService{}, estimates: map[string]*estimate{}}
+	return &Balancer{states: map[string]*state{}, limits: newRateLimits(), fleet: fleet{instances: 1, random: newRandom(""), usage: map[string]*usage{}}, brittle: map[string]brittleService{}, estimates: map[string]*estimate{}, spillover: spillover{spill: spill.New(spill.DefaultConfig())}}
 }
 
 // Pick chooses one of the listed endpoints of a service for a request. It refuses the request if all endpoints were tried, or if no
@@ -85,20 +86,28 @@
 	if len(list) == 0 {
 		return Decision{Reason: "no endpoint is registered", RetryAfter: maxRetryAfter / 2}
 	}
+	ba.spillover.change = spill.Change{}
+	de := ba.choose(now, se, list, &rq)
+	de.Spill = ba.spillover.change
+	return de
+}
+
+// choose chooses one of the listed endpoints for a request; the caller holds the lock.
+func (ba *Balancer) choose(now time.Duration, se *plan.Service, list []*roster.Endpoint, rq *Request) Decision {
 	de, ok := Decision{}, false
 	ix := ba.index(now, se, list)
 	if len(ix.shuffled) > 0 {
-		de, ok = ba.pickSampled(now, se, ix, &rq)
+		de, ok = ba.pickSampled(now, se, ix, rq)
 	}
 	if !ok {
-		de = ba.pickFrom(now, se, ix, &rq, false)
+		de = ba.pickFrom(now, se, ix, rq, false)
 		if de.Endpoint == nil {
-			de = ba.pickFrom(now, se, ix, &rq, true)
+			de = ba.pickFrom(now, se, ix, rq, true)
 		}
 	}
 	ba.askForPermit(now)
 	if de.Endpoint == nil && len(ba.withheld) > 0 {
-		return ba.refuseLimited(now, se, rq, len(list))
+		return ba.refuseLimited(now, se, *rq, len(list))
 	}
 	if de.Endpoint == nil && ba.full > 0 {
 		return ba.refuseFull(len(list))
@@ -109,7 +118,7 @@
 	if de.Endpoint == nil {
 		return Decision{Reason: "every endpoint was tried", RetryAfter: minRetryAfter, Candidates: len(list)}
 	}
-	return ba.takePermit(now, refuseLate(rq, de))
+	return ba.takePermit(now, refuseLate(*rq, de))
 }
 
 // pickSampled chooses one of a sample of a long list. It returns false if all endpoints must be examined: because some have rate limits or are brittle, because
@@ -139,6 +148,7 @@
 	source := ba.copySource(now, se, holder, rq)
 	es := ba.estimate(se.Name)
 	weight := prefillWeight(now, es, ba.candidates, rq)
+	ba.prepareSpill(now, se, ix, rq)
 	best := Decision{Candidates: len(ix.list), Withheld: len(ba.withheld), Reason: "least expected time"}
 	least := time.Duration(0)
 	ix.best.count = 0
@@ -157,24 +167,18 @@
 		toFirstEvent, queueTime := st.expect(now, se, rq, uncached)
 		toFirstEvent += cp.time
 		cost := toFirstEvent + time.Duration(st.recentFailures(now)*float64(failurePenalty)) + prefillPenalty(es, rq, uncached, weight) + cp.time
-		cost += inactivityFactor*st.inactivity(now) + jitter(rq, st) + ba.leavingCost(now, se, rq, en)
+		cost += inactivityFactor*st.inactivity(now) + jitter(rq, st)
 		ix.best.add(ca.position, cost)
+		cost += ba.leavingCost(now, ix.domains[ca.position], rq, st, held)
 		if best.Endpoint == nil || cost < least {
 			best.Endpoint, best.TimeToFirstEvent, best.QueueTime, best.UncachedTokens, least = en, toFirstEvent, queueTime, uncached, cost
 			best.Source, best.CopyTokens = cp.source, cp.tokens
 		}
 	}
+	ba.leave(se, rq, &best, holder)
 	return best
 }
 
-// leavingCost returns the cost of sending the request to the endpoint for the round trip and the transfer, if that is in another failure domain.
-func (ba *Balancer) leavingCost(_ time.Duration, _ *plan.Service, rq *Request, en *roster.Endpoint) time.Duration {
-	if en.Domain == rq.Domain {
-		return 0
-	}
-	return crossDomainTime
-}
-
 // cachedTokens returns the number of prompt tokens that the endpoint is expected to have cached; holder is true if the endpoint is the one
 // returned by prefixHolder.
 func (st *state) cachedTokens(rq *Request, holder bool) int64 {
--- a/pkg/place/balancer_test.go
+++ b/pkg/place/balancer_test.go
@@ -126,6 +126,20 @@
 	}
 }
 
+// BenchmarkPickDomains measures a decision among endpoints in three failure domains while time passes, so that the domains are observed.
+func BenchmarkPickDomains(bb *testing.B) {
+	for _, count := range []int{90, 1000} {
+		bb.Run(fmt.Sprint("endpoints=", count), func(bb *testing.B) {
+			ba, list, rq := NewBalancer(), manyEndpoints(count), longRequest(7, 1)
+			bb.ReportAllocs()
+			for number := uint64(0); bb.Loop(); number++ {
+				rq.Parts[1].ID = 100 + number%500
+				ba.Pick(time.Second+time.Duration(number)*5*time.Millisecond, model, list, rq)
+			}
+		})
+	}
+}
+
 // BenchmarkPick measures a decision among various numbers of endpoints.
 func BenchmarkPick(bb *testing.B) {
 	for _, count := range []int{9, 21, 60, 1000} {
--- a/pkg/place/request.go
+++ b/pkg/place/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/clementineweir/clementineweir/pkg/roster"
+	"github.com/clementineweir/clementineweir/pkg/spill"
 )
 
 // Part is one part of a prompt. Prompts that begin with the same parts share their entries in an endpoint's prefix cache.
@@ -20,6 +21,8 @@
 	Prompt int64
 	// Output is the maximum number of tokens to generate; zero for plain services.
 	Output int64
+	// Bytes is the number of bytes that are sent to the endpoint; if it is zero, they are estimated from Prompt.
+	Bytes int64
 	// Parts are the parts of the prompt in order; the last one is not shared with other requests.
 	Parts []Part
 	// Team is the name of the caller's team, or empty.
@@ -79,6 +82,10 @@
 	Withheld int
 	// PermitFrom is the instance that issued the permit with which the request is sent, or empty if the endpoint has no rate limit.
 	PermitFrom string
+	// Domain is the failure domain of the endpoint, and LeftFor the reason for which the request leaves that of the instance, or empty.
+	Domain, LeftFor string
+	// Spill is a change of the share of requests that leave the failure domain, if this decision has made one.
+	Spill spill.Change
 }
 
 // CopyAddress returns the address of Source, or an empty string.
--- /dev/null
+++ b/pkg/spill/spill.go
@@ -0,0 +1,266 @@
+package spill
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// observeInterval is the minimum time between two observations of a service. The loads that endpoints report change little faster.
+	observeInterval = 100 * time.Millisecond
+	// stepInterval is the mean time between two steps of the shares. The effect of a step is seen after the first events of the requests that it moved, which
+	// take some hundred milliseconds under load.
+	stepInterval = 250 * time.Millisecond
+	// maxIdle is the time without an observation after which the shares are void.
+	maxIdle = 5 * time.Second
+	// maxRise bounds the rise of a share in one step; a share falls by fallStep.
+	maxRise, fallStep = 0.1, 0.05
+	// probeShare bounds the share of a domain whose load is unknown. The responses to these requests bring its load.
+	probeShare = 0.1
+	// waitShare is the part of the wait in the own domain that another one must be better by, if that is more than the surcharge. With long queues, the
+	// waits at the endpoints of one domain differ by about as much.
+	waitShare = 0.25
+	// timeLeftShare bounds the surcharge by the time left: a request does not become late because it stays.
+	timeLeftShare = 0.05
+	// riseAt and fallAt are the gains, as parts of the surcharge, from which a share rises and below which it falls.
+	riseAt, fallAt = 0.5, 0.125
+	// refusalHalfLife is the half-life of a refusal, and maxRefusals bounds their count. A share does not rise above minRefusals.
+	refusalHalfLife          = time.Second
+	maxRefusals, minRefusals = 8, 0.25
+	// waitWeight is the weight of the newest wait in its average.
+	waitWeight = 0.4
+	// bytesWeight is the weight of the newest request in the average number of bytes.
+	bytesWeight = 0.05
+	// changeStep is the change of a share that is reported.
+	changeStep = 0.1
+	// maxDomains bounds the failure domains of a service for which there are shares; the others count as unknown.
+	maxDomains = 16
+)
+
+// Config says what leaving a failure domain costs.
+type Config struct {
+	// RoundTrip is the time of a round trip to another failure domain.
+	RoundTrip time.Duration
+	// BytePrice is the latency that sending one megabyte to another failure domain is worth.
+	BytePrice time.Duration
+	// Surcharge is added while the own domain is not under pressure; zero means that leaving always costs the round trip and the bytes.
+	Surcharge time.Duration
+	// Seed differs between instances, so that they do not change their shares together.
+	Seed uint64
+}
+
+// DefaultConfig returns the usual configuration.
+func DefaultConfig() Config {
+	return Config{
+		RoundTrip: 2 * time.Millisecond,
+		// A prompt of 12,000 tokens costs 3 ms, with the round trip 5 ms.
+		BytePrice: 60 * time.Millisecond,
+		// A fifth of the shortest latency target (120 ms): no request misses its target because it stays.
+		Surcharge: 24 * time.Millisecond,
+	}
+}
+
+// Load is the load of the endpoints of a service in one failure domain.
+type Load struct {
+	// Domain is the name of the failure domain.
+	Domain string
+	// Usable is the number of endpoints that are reachable and do not refuse requests.
+	Usable int
+	// Known reports whether the load of some endpoints was reported recently.
+	Known bool
+	// Wait is the expected time of a small request at the least busy endpoints whose load is known, or at all if it is not known of any.
+	Wait time.Duration
+	// StaleWait is the expected time at the endpoints whose load is unknown, in which only the requests of this instance count.
+	StaleWait time.Duration
+}
+
+// Request holds the properties of a request that decide what leaving costs.
+type Request struct {
+	// Bytes is the number of bytes that are sent.
+	Bytes int64
+	// TimeLeft is the time until the deadline, zero if there is none.
+	TimeLeft time.Duration
+	// Holder reports whether the endpoint is assumed to have a long shared prefix of the request cached. Prefilling it once more in each domain costs more than
+	// the transfer.
+	Holder bool
+	// Stale reports whether the load of the endpoint is unknown.
+	Stale bool
+	// Draw is the result of Spill.Draw for the request.
+	Draw float64
+}
+
+// Change is a change of the share of requests that may leave; the zero value means none.
+type Change struct {
+	// Before and After are the shares, the largest over all domains.
+	Before, After float64
+	// Wait is the expected time in the own domain, and Lost reports whether it has no usable endpoint.
+	Wait time.Duration
+	Lost bool
+	// Surcharge is the mean surcharge of requests that leave after the change.
+	Surcharge time.Duration
+}
+
+// Spill holds the shares of requests that may leave the domain without a surcharge, by service; it is not safe for concurrent use.
+type Spill struct {
+	config   Config
+	random   uint64
+	services map[string]*service
+}
+
+// service is what is known of one service.
+type service struct {
+	own     Load
+	domains []domain
+	// observedAt is the time of the last observation, and stepAt that of the next step.
+	observedAt, stepAt time.Duration
+	observed           bool
+	// bytes is the average number of bytes of a request.
+	bytes float64
+	// drawn is the number of draws.
+	drawn uint64
+	// reported is the share of the last Change.
+	reported float64
+}
+
+// domain is another failure domain.
+type domain struct {
+	load Load
+	// share is the share of requests that may leave to the domain without a surcharge.
+	share float64
+	// refusals counts the recent refusals at the time refusedAt.
+	refusals  float64
+	refusedAt time.Duration
+}
+
+// New returns a Spill that knows of no load.
+func New(cf Config) *Spill {
+	return &Spill{config: cf, random: cf.Seed*0x9e3779b97f4a7c15 | 1, services: map[string]*service{}}
+}
+
+// Draw returns a number from 0 to 1 for a request. The numbers of consecutive requests are spread evenly.
+func (sp *Spill) Draw(name string) float64 {
+	sv := sp.service(name)
+	sv.drawn++
+	_, fraction := math.Modf(float64(sv.drawn%(1<<32)) * (math.Sqrt(5) - 1) / 2)
+	return fraction
+}
+
+// Due reports whether the service should be observed now.
+func (sp *Spill) Due(now time.Duration, name string) bool {
+	sv, ok := sp.services[name]
+	return !ok || !sv.observed || now-sv.observedAt >= observeInterval
+}
+
+// Cost returns the time that is added to the cost of an endpoint in the domain to for a request of an instance in the domain from.
+func (sp *Spill) Cost(now time.Duration, name, from, to string, rq Request) time.Duration {
+	if from == to {
+		return 0
+	}
+	cost := sp.config.RoundTrip
+	sv, ok := sp.services[name]
+	if !ok || !sv.observed {
+		return cost + sp.price(rq.Bytes) + sp.surcharge(0, rq)
+	}
+	do := sv.domain(to)
+	if do != nil && do.refusals > 0 {
+		cost += time.Duration(do.recentRefusals(now) * float64(sp.surcharge(sv.own.Wait, rq)))
+	}
+	if sv.own.Usable == 0 {
+		return cost
+	}
+	cost += sp.price(rq.Bytes)
+	if rq.Holder || (do != nil && rq.Draw < do.share) {
+		return cost
+	}
+	cost += sp.surcharge(sv.own.Wait, rq)
+	if rq.Stale && sp.config.Surcharge > 0 {
+		cost += sv.staleCost(do)
+	}
+	return cost
+}
+
+// Reason says why a request left the domain for an endpoint in another one.
+func (sp *Spill) Reason(name, to string, rq Request) string {
+	sv, ok := sp.services[name]
+	if !ok {
+		return "less busy"
+	}
+	do := sv.domain(to)
+	switch {
+	case sv.observed && sv.own.Usable == 0:
+		return "no usable endpoint in the domain"
+	case rq.Holder:
+		return "cached prefix"
+	case do != nil && rq.Draw < do.share:
+		return "pressure"
+	default:
+		return "less busy"
+	}
+}
+
+// Refused records that an endpoint in another domain has refused a request of this instance.
+func (sp *Spill) Refused(now time.Duration, name, to string) {
+	sv, ok := sp.services[name]
+	if !ok {
+		return
+	}
+	if do := sv.domain(to); do != nil {
+		do.refusals = min(maxRefusals, do.recentRefusals(now)+1)
+		do.refusedAt = now
+		do.share /= 2
+	}
+}
+
+// price returns the price of a number of bytes.
+func (sp *Spill) price(bytes int64) time.Duration {
+	return time.Duration(float64(bytes) / 1e6 * float64(sp.config.BytePrice))
+}
+
+// surcharge returns the cost of leaving without need, at the given wait in the own domain.
+func (sp *Spill) surcharge(wait time.Duration, rq Request) time.Duration {
+	if sp.config.Surcharge == 0 {
+		return 0
+	}
+	charge := max(sp.config.Surcharge, time.Duration(waitShare*float64(wait)))
+	if rq.TimeLeft > 0 {
+		charge = min(charge, time.Duration(timeLeftShare*float64(rq.TimeLeft)))
+	}
+	return charge
+}
+
+// staleCost returns what is added to the expected time at an endpoint of unknown load: it counts as busy as the known ones of its domain, or else as the own
+// domain.
+func (sv *service) staleCost(do *domain) time.Duration {
+	if do == nil {
+		return 0
+	}
+	if do.load.Known {
+		return max(0, do.load.Wait-do.load.StaleWait)
+	}
+	return max(0, sv.own.Wait-do.load.StaleWait)
+}
+
+func (sp *Spill) service(name string) *service {
+	sv, ok := sp.services[name]
+	if !ok {
+		sv = &service{}
+		sp.services[name] = sv
+	}
+	return sv
+}
+
+func (sv *service) domain(name string) *domain {
+	for ix := range sv.domains {
+		if sv.domains[ix].load.Domain == name {
+			return &sv.domains[ix]
+		}
+	}
+	return nil
+}
+
+func (do *domain) recentRefusals(now time.Duration) float64 {
+	if do.refusals == 0 {
+		return 0
+	}
+	return do.refusals * math.Exp2(-(now-do.refusedAt).Seconds()/refusalHalfLife.Seconds())
+}
--- /dev/null
+++ b/pkg/spill/step.go
@@ -0,0 +1,105 @@
+package spill
+
+import (
+	"slices"
+	"time"
+)
+
+// Observe records the loads of all failure domains of a service, as an instance in the domain from knows them; bytes is the size of a present request. It
+// returns a change of the shares.
+func (sp *Spill) Observe(now time.Duration, name, from string, loads []Load, bytes int64) Change {
+	sv := sp.service(name)
+	if !sv.observed || now-sv.observedAt > maxIdle {
+		sv.bytes, sv.stepAt = float64(bytes), now+time.Duration(sp.fraction()*float64(stepInterval))
+		sv.own, sv.domains = Load{}, sv.domains[:0]
+	}
+	sv.observed, sv.observedAt = true, now
+	sv.bytes += bytesWeight * (float64(bytes) - sv.bytes)
+	sv.update(from, loads)
+	if now >= sv.stepAt {
+		sv.stepAt = now + time.Duration((0.75+sp.fraction()/2)*float64(stepInterval))
+		for ix := range sv.domains {
+			sp.step(now, sv, &sv.domains[ix])
+		}
+	}
+	return sp.change(sv)
+}
+
+// update records the loads.
+func (sv *service) update(from string, loads []Load) {
+	own := sv.own
+	sv.own = Load{Domain: from}
+	for _, lo := range loads {
+		if lo.Domain == from {
+			sv.own = smooth(own, lo)
+		} else if do := sv.domain(lo.Domain); do != nil {
+			do.load = smooth(do.load, lo)
+		} else if len(sv.domains) < maxDomains {
+			sv.domains = append(sv.domains, domain{load: lo})
+		}
+	}
+	for ix := len(sv.domains) - 1; ix >= 0; ix-- {
+		if !slices.ContainsFunc(loads, func(lo Load) bool { return lo.Domain == sv.domains[ix].load.Domain }) {
+			sv.domains = slices.Delete(sv.domains, ix, ix+1)
+		}
+	}
+}
+
+// smooth returns the newest load with waits that are averaged with the previous ones, since they are estimated from a sample of the endpoints. A wait is not
+// averaged with that of a domain without usable endpoints or of unknown load.
+func smooth(before, newest Load) Load {
+	if before.Usable == 0 || before.Domain != newest.Domain {
+		return newest
+	}
+	if before.Known == newest.Known {
+		newest.Wait = before.Wait + time.Duration(waitWeight*float64(newest.Wait-before.Wait))
+	}
+	newest.StaleWait = before.StaleWait + time.Duration(waitWeight*float64(newest.StaleWait-before.StaleWait))
+	return newest
+}
+
+// step changes the share of a domain by one step: up while requests gain from leaving, down when they no longer do. Between riseAt and fallAt it stays.
+func (sp *Spill) step(now time.Duration, sv *service, do *domain) {
+	if do.load.Usable == 0 || sv.own.Usable == 0 {
+		// Without usable endpoints in the own domain, the shares do not matter; see Cost.
+		do.share = max(0, do.share-fallStep)
+		return
+	}
+	limit, wait := 1.0, do.load.Wait
+	if !do.load.Known {
+		limit, wait = probeShare, do.load.StaleWait
+	}
+	gain := float64(sv.own.Wait - wait - sp.config.RoundTrip - sp.price(int64(sv.bytes)))
+	charge := float64(sp.surcharge(sv.own.Wait, Request{}))
+	switch {
+	case gain < fallAt*charge:
+		do.share = max(0, do.share-fallStep)
+	case gain > riseAt*charge && do.recentRefusals(now) < minRefusals:
+		do.share = min(limit, do.share+min(maxRise, maxRise*gain/(2*charge)))
+	default:
+		do.share = min(limit, do.share)
+	}
+}
+
+// change returns the change of the largest share since the last one that was returned, if it is large enough.
+func (sp *Spill) change(sv *service) Change {
+	share := 0.0
+	for ix := range sv.domains {
+		share = max(share, sv.domains[ix].share)
+	}
+	if diff := share - sv.reported; diff == 0 || (diff < changeStep && diff > -changeStep && share > 0 && share < 1) {
+		return Change{}
+	}
+	ch := Change{Before: sv.reported, After: share, Wait: sv.own.Wait, Lost: sv.own.Usable == 0}
+	ch.Surcharge = time.Duration((1 - share) * float64(sp.surcharge(sv.own.Wait, Request{})))
+	sv.reported = share
+	return ch
+}
+
+// fraction returns a random number from 0 to 1, by xorshift.
+func (sp *Spill) fraction() float64 {
+	sp.random ^= sp.random << 13
+	sp.random ^= sp.random >> 7
+	sp.random ^= sp.random << 17
+	return float64(sp.random>>11) / (1 << 53)
+}
