Gate: requests that leave the failure domain are logged and counted

Change: the request line has domain and leftFor, the line spill tells of changed shares, three metrics by service, and the setting spill.bytePrice.

--- a/internal/cmds/routed.go
+++ b/internal/cmds/routed.go
@@ -56,7 +56,7 @@
 		Name: fmt.Sprintf("entry-%d", index+1), Domain: fakes.Domains[index%len(fakes.Domains)],
 		CallerAddress: la.address(0, index), ReadyAddress: la.address(operatorPorts, index), PeerAddress: la.address(peerPorts, index),
 		StoreAddress: la.address(platformPort, 0), FirstStart: true, Grace: routedGrace,
-		RetryRatio: 0.2, RetryHeadroom: 50, RetryWindow: 10 * time.Second, MemoryMegabytes: routedMemoryMB,
+		RetryRatio: 0.2, RetryHeadroom: 50, RetryWindow: 10 * time.Second, BytePrice: 60, MemoryMegabytes: routedMemoryMB,
 	}
 }
 
--- a/internal/config/edge.go
+++ b/internal/config/edge.go
@@ -25,6 +25,8 @@
 	RetryHeadroom int64
 	// RetryWindow is the length of the sliding window in which requests and retries are counted.
 	RetryWindow time.Duration
+	// BytePrice is the latency, in milliseconds, that sending one megabyte to another failure domain is worth.
+	BytePrice float64
 	// MemoryMegabytes is the memory that the process may use.
 	MemoryMegabytes int64
 }
@@ -43,6 +45,7 @@
 	{"retry", "ratio", decimal, "0.2", false, 0, "Largest ratio of retries to requests of a service, over the whole fleet.", func(se *Settings) any { return &se.Edge.RetryRatio }},
 	{"retry", "headroom", number, "50", false, 0, "Retries of a service that are allowed in a window beyond the ratio, over the whole fleet.", func(se *Settings) any { return &se.Edge.RetryHeadroom }},
 	{"retry", "window", duration, "10s", false, minDuration, "Sliding window in which retries are counted.", func(se *Settings) any { return &se.Edge.RetryWindow }},
+	{"spill", "bytePrice", decimal, "60", false, 0, "Latency in milliseconds that sending one megabyte to another failure domain is worth.", func(se *Settings) any { return &se.Edge.BytePrice }},
 }
 
 // minGrace is the minimum grace period: the time to announce the shutdown to the platform and to settle the grants.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
@@ -21,6 +22,7 @@
 	"github.com/clementineweir/clementineweir/pkg/quota"
 	"github.com/clementineweir/clementineweir/pkg/retry"
 	"github.com/clementineweir/clementineweir/pkg/roster"
+	"github.com/clementineweir/clementineweir/pkg/spill"
 	"github.com/clementineweir/clementineweir/pkg/turn"
 )
 
@@ -136,6 +138,7 @@
 		retryBudget: retry.New(retryConfig(cf.Settings), now),
 		turns:       turn.New(),
 	}
+	ed.balancer.SetSpill(spillConfig(cf.Settings))
 	ed.grace.Store(int64(cf.Settings.Grace))
 	ed.stopped, ed.stopServing = context.WithCancel(context.Background())
 	opened := ed.metrics.Counter("weir_endpoint_connections_opened_total")
@@ -183,6 +186,14 @@
 	return retry.Config{Ratio: se.RetryRatio, Headroom: float64(se.RetryHeadroom), Window: se.RetryWindow}
 }
 
+// spillConfig returns what leaving the failure domain costs.
+func spillConfig(se config.Edge) spill.Config {
+	cf := spill.DefaultConfig()
+	cf.BytePrice = time.Duration(se.BytePrice * float64(time.Millisecond))
+	cf.Seed = xxhash.Sum64String(se.Name)
+	return cf
+}
+
 // Plan returns the configuration in force. It returns nil before the first one, and until the instance has learned the rate limits of endpoints.
 func (ed *Edge) Plan() *plan.Plan {
 	if !ed.permits.learned.Load() {
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -33,6 +33,8 @@
 	// permit that was used, or empty.
 	withheld   int
 	permitFrom string
+	// domain is the failure domain of the last endpoint, and leftFor why the request left that of this instance for it, or empty.
+	domain, leftFor string
 	// relayPeer is the name of the instance that relayed the connection of the last attempt, or empty.
 	relayPeer string
 	// buildSource says from where the build of a resumed stream is known.
@@ -55,6 +57,7 @@
 	le.timeToFirstEvent, le.queueTime = de.TimeToFirstEvent, de.QueueTime
 	le.uncachedTokens = de.UncachedTokens
 	le.withheld, le.permitFrom = de.Withheld, de.PermitFrom
+	le.domain, le.leftFor = de.Domain, de.LeftFor
 	le.copyTokens, le.copySource = de.CopyTokens, ""
 	if de.Source != nil {
 		le.copySource = de.Source.ID
@@ -161,6 +164,9 @@
 	if pr.info.LastEvent > 0 || pr.info.Resumes != "" {
 		args = append(args, "resumes", pr.info.Resumes, "lastEvent", pr.info.LastEvent, "versionFrom", le.buildSource)
 	}
+	if le.leftFor != "" {
+		args = append(args, "domain", le.domain, "leftFor", le.leftFor)
+	}
 	if le.withheld > 0 || le.permitFrom != "" {
 		args = append(args, "withheld", le.withheld, "permitFrom", le.permitFrom)
 	}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -202,7 +202,7 @@
 // placement returns the properties of the request that decide its placement; tried are the endpoints that may not be chosen again.
 func (pr *proxyRequest) placement(tried []string) place.Request {
 	return place.Request{
-		Prompt: pr.info.Prompt, Output: pr.info.Output, Parts: pr.info.Parts, Domain: pr.gate.config.Domain, Tried: tried,
+		Prompt: pr.info.Prompt, Output: pr.info.Output, Parts: pr.info.Parts, Domain: pr.gate.config.Domain, Tried: tried, Bytes: int64(len(pr.body)),
 		Rank: pr.route.Priority, TimeLeft: pr.firstEventLimit(), Team: pr.team, Resumed: pr.returned,
 	}
 }
@@ -284,6 +284,7 @@
 	if de.PermitFrom != "" {
 		cf.Metrics.Counter("weir_rate_limited_sends_total").Inc()
 	}
+	pr.recordSpill(de)
 	pr.entry.recordAttempt(de)
 	pr.entry.urgency = pr.urgency()
 	out, err := fw.exchange(de, at)
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -13,6 +13,8 @@
 type Metrics struct {
 	set   *metrics.Set
 	cache sync.Map
+	// spills holds the spillMetrics by service.
+	spills sync.Map
 }
 
 type series struct {
--- a/internal/gate/origin.go
+++ b/internal/gate/origin.go
@@ -79,6 +79,7 @@
 	rq := pr.placement(tried)
 	rq.Resumed = rq.Resumed || build != nil
 	de := cf.Board.Pick(pr.now(), pr.service, list, rq)
+	pr.logSpill(de.Spill)
 	switch {
 	case build != nil && len(list) == 0:
 		de.Reason, de.RetryAfter = "no endpoint has the software version that began the stream", otherBuildRetryAfter
--- a/pkg/place/spillover.go
+++ b/pkg/place/spillover.go
@@ -44,6 +44,13 @@
 	ba.spillover.spill = spill.New(cf)
 }
 
+// SpillCost returns what leaving the failure domain costs a request to the service now, beyond the round trip and the transfer.
+func (ba *Balancer) SpillCost(service string) time.Duration {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	return ba.spillover.spill.Surcharge(service)
+}
+
 // prepareSpill prepares the costs of leaving for a request.
 func (ba *Balancer) prepareSpill(now time.Duration, se *plan.Service, ix *index, rq *Request) {
 	so := &ba.spillover
--- a/pkg/spill/spill.go
+++ b/pkg/spill/spill.go
@@ -96,7 +96,7 @@
 	// Wait is the expected time in the own domain, and Lost reports whether it has no usable endpoint.
 	Wait time.Duration
 	Lost bool
-	// Surcharge is the mean surcharge of requests that leave after the change.
+	// Surcharge is the mean surcharge of requests that leave after the change; see Spill.Surcharge.
 	Surcharge time.Duration
 }
 
@@ -118,8 +118,9 @@
 	bytes float64
 	// drawn is the number of draws.
 	drawn uint64
-	// reported is the share of the last Change.
-	reported float64
+	// reported and reportedLost are After and Lost of the last Change.
+	reported     float64
+	reportedLost bool
 }
 
 // domain is another failure domain.
--- a/pkg/spill/step.go
+++ b/pkg/spill/step.go
@@ -83,17 +83,40 @@
 
 // change returns the change of the largest share since the last one that was returned, if it is large enough.
 func (sp *Spill) change(sv *service) Change {
+	share, lost := sv.share(), sv.own.Usable == 0
+	diff := share - sv.reported
+	if lost == sv.reportedLost && (diff == 0 || (diff < changeStep && diff > -changeStep && share > 0 && share < 1)) {
+		return Change{}
+	}
+	ch := Change{Before: sv.reported, After: share, Wait: sv.own.Wait, Lost: lost, Surcharge: sp.meanSurcharge(sv)}
+	sv.reported, sv.reportedLost = share, lost
+	return ch
+}
+
+// share returns the largest share over all domains.
+func (sv *service) share() float64 {
 	share := 0.0
 	for ix := range sv.domains {
 		share = max(share, sv.domains[ix].share)
 	}
-	if diff := share - sv.reported; diff == 0 || (diff < changeStep && diff > -changeStep && share > 0 && share < 1) {
-		return Change{}
+	return share
+}
+
+// meanSurcharge returns the mean surcharge of requests that leave to the domain with the largest share.
+func (sp *Spill) meanSurcharge(sv *service) time.Duration {
+	if sv.own.Usable == 0 {
+		return 0
 	}
-	ch := Change{Before: sv.reported, After: share, Wait: sv.own.Wait, Lost: sv.own.Usable == 0}
-	ch.Surcharge = time.Duration((1 - share) * float64(sp.surcharge(sv.own.Wait, Request{})))
-	sv.reported = share
-	return ch
+	return time.Duration((1 - sv.share()) * float64(sp.surcharge(sv.own.Wait, Request{})))
+}
+
+// Surcharge returns what leaving costs beyond the round trip and the bytes, averaged over requests with much time left.
+func (sp *Spill) Surcharge(name string) time.Duration {
+	sv, ok := sp.services[name]
+	if !ok || !sv.observed {
+		return sp.config.Surcharge
+	}
+	return sp.meanSurcharge(sv)
 }
 
 // fraction returns a random number from 0 to 1, by xorshift.
