Spill: only a share of the requests leaves under pressure

Cause: with a surcharge alone, 75 instances that decide alone all leave as soon as the other domains are better by more, and return together. Change: the share follows the gain of leaving; the other requests stay unless that would take an eighth of their time left.

--- a/internal/emul/result.go
+++ b/internal/emul/result.go
@@ -56,10 +56,12 @@
 	Falls int
 	// Cut compares the instances that reached no runner with the others, if there was such a time.
 	Cut CutTally
+	// Left counts the requests that left the failure domain of their instance.
+	Left LeftTally
 }
 
 func (si *simulation) result(policy string) Result {
-	re := Result{Scenario: si.scenario.Name, Policy: policy, All: tallyOf("all", si.requests), Limits: si.limitTally(), Resumptions: si.resumptions, Falls: si.falls(), Cut: si.cutTally()}
+	re := Result{Scenario: si.scenario.Name, Policy: policy, All: tallyOf("all", si.requests), Limits: si.limitTally(), Resumptions: si.resumptions, Falls: si.falls(), Cut: si.cutTally(), Left: si.left}
 	for _, cl := range si.scenario.Classes {
 		var list []*callerRequest
 		for _, cr := range si.requests {
--- a/internal/emul/send.go
+++ b/internal/emul/send.go
@@ -26,6 +26,7 @@
 		si.refuse(cr, ch.retryAfter)
 		return
 	}
+	si.countLeft(rq, ch)
 	se := &sending{sim: si, caller: cr, instance: instance, request: rq, choice: ch, attempt: si.policy.dispatch(instance, rq, ch)}
 	se.job = se.newJob()
 	now := si.clock.now
--- a/internal/emul/simulation.go
+++ b/internal/emul/simulation.go
@@ -46,6 +46,7 @@
 	// uniqueParts is the number of unique parts so far: one for each first try or retry of a request.
 	uniqueParts uint64
 	requests    []*callerRequest
+	left        LeftTally
 	resumptions Resumptions
 }
 
@@ -93,7 +94,7 @@
 	}
 	prefilledParts := map[uint64]bool{}
 	for ix := range sc.Runners {
-		en := &roster.Endpoint{ID: fmt.Sprint("runner-", ix), Service: "model", Domain: domainName(ix % sc.Domains), Slots: sc.Runner.Slots, Version: sc.versionOf(ix)}
+		en := &roster.Endpoint{ID: fmt.Sprint("runner-", ix), Service: "model", Domain: domainName(sc.domainOf(ix)), Slots: sc.Runner.Slots, Version: sc.versionOf(ix)}
 		ru := newRunner(sc.Runner, en, si.clock, prefilledParts)
 		ru.unevenness, ru.index = sc.Unevenness, ix
 		si.runners = append(si.runners, ru)
--- a/internal/emul/weir.go
+++ b/internal/emul/weir.go
@@ -37,6 +37,7 @@
 	}
 	for ix := range names {
 		ba := place.NewBalancer()
+		ba.SetSpill(spillConfig(si.scenario.Spill, ix))
 		ba.SetInstances(si.scenario.Instances)
 		ba.SetMembers(instanceName(ix), names)
 		we.balancers = append(we.balancers, ba)
--- a/pkg/spill/spill.go
+++ b/pkg/spill/spill.go
@@ -13,15 +13,23 @@
 	stepInterval = 250 * time.Millisecond
 	// maxIdle is the time without an observation after which the shares are void.
 	maxIdle = 5 * time.Second
-	// maxRise bounds the rise of a share in one step; a share falls by fallStep.
-	maxRise, fallStep = 0.1, 0.05
+	// maxStep bounds the change of a share in one step; without gain, a share falls by at least fallStep.
+	maxStep, fallStep = 0.1, 0.02
+	// shareOfGain is the change of a share for a change of the gain by a second. Queues grow as long as too many requests come, and loads are known some 0.4 s
+	// late: a share that follows the gain at more than twice this rate swings.
+	shareOfGain = 0.5
+	// gainTime is the time in which a constant gain changes a share by as much as it did when it appeared.
+	gainTime = 2 * time.Second
 	// probeShare bounds the share of a domain whose load is unknown. The responses to these requests bring its load.
 	probeShare = 0.1
 	// waitShare is the part of the wait in the own domain that another one must be better by, if that is more than the surcharge. With long queues, the
 	// waits at the endpoints of one domain differ by about as much.
 	waitShare = 0.25
-	// timeLeftShare bounds the surcharge by the time left: a request does not become late because it stays.
+	// timeLeftShare bounds the surcharge by the time left, which is about four times the latency target: a request does not become late because it stays.
 	timeLeftShare = 0.05
+	// heldShare is the part of the time left that requests outside the share wait longer under pressure: half of the latency target. Without a deadline, they
+	// wait gainFactor times the gain.
+	heldShare, gainFactor = 0.125, 2
 	// riseAt and fallAt are the gains, as parts of the surcharge, from which a share rises and below which it falls.
 	riseAt, fallAt = 0.5, 0.125
 	// refusalHalfLife is the half-life of a refusal, and maxRefusals bounds their count. A share does not rise above minRefusals.
@@ -33,6 +41,8 @@
 	bytesWeight = 0.05
 	// changeStep is the change of a share that is reported.
 	changeStep = 0.1
+	// phaseStep is the difference between the phases of the draws for two domains.
+	phaseStep = 0.5
 	// maxDomains bounds the failure domains of a service for which there are shares; the others count as unknown.
 	maxDomains = 16
 )
@@ -126,8 +136,14 @@
 // domain is another failure domain.
 type domain struct {
 	load Load
+	// phase is added to the draws for the domain.
+	phase float64
 	// share is the share of requests that may leave to the domain without a surcharge.
 	share float64
+	// gain is the time that a request gains by leaving to the domain, and gainBefore the gain at the last step.
+	gain, gainBefore time.Duration
+	// pressure reports whether a share leaves to the domain, or should.
+	pressure bool
 	// refusals counts the recent refusals at the time refusedAt.
 	refusals  float64
 	refusedAt time.Duration
@@ -170,14 +186,10 @@
 		return cost
 	}
 	cost += sp.price(rq.Bytes)
-	if rq.Holder || (do != nil && rq.Draw < do.share) {
+	if rq.Holder || sp.config.Surcharge == 0 || (do != nil && rq.leaves(do)) {
 		return cost
 	}
-	cost += sp.surcharge(sv.own.Wait, rq)
-	if rq.Stale && sp.config.Surcharge > 0 {
-		cost += sv.staleCost(do)
-	}
-	return cost
+	return cost + sp.heldCost(sv, do, rq)
 }
 
 // Reason says why a request left the domain for an endpoint in another one.
@@ -192,7 +204,7 @@
 		return "no usable endpoint in the domain"
 	case rq.Holder:
 		return "cached prefix"
-	case do != nil && rq.Draw < do.share:
+	case do != nil && rq.leaves(do):
 		return "pressure"
 	default:
 		return "less busy"
@@ -229,6 +241,32 @@
 	return charge
 }
 
+// heldCost returns what leaving costs a request that should stay, beyond the round trip and the bytes. Under pressure, only the
+// share leaves, and those that would else become late: otherwise all requests of all instances would leave as soon as the gain is larger than the surcharge, and
+// return together.
+func (sp *Spill) heldCost(sv *service, do *domain, rq Request) time.Duration {
+	cost := sp.surcharge(sv.own.Wait, rq)
+	if do == nil {
+		return cost
+	}
+	held := cost
+	if do.pressure && rq.TimeLeft > 0 {
+		held = max(held, time.Duration(heldShare*float64(rq.TimeLeft)))
+	} else if do.pressure {
+		held += gainFactor * max(0, do.gain)
+	}
+	if rq.Stale {
+		held = max(held, cost+sv.staleCost(do))
+	}
+	return held
+}
+
+// leaves reports whether the request is one of the share that may leave to the domain. With small shares, those of different domains are different requests.
+func (rq *Request) leaves(do *domain) bool {
+	_, draw := math.Modf(rq.Draw + do.phase)
+	return draw < do.share
+}
+
 // staleCost returns what is added to the expected time at an endpoint of unknown load: it counts as busy as the known ones of its domain, or else as the own
 // domain.
 func (sv *service) staleCost(do *domain) time.Duration {
--- a/pkg/spill/step.go
+++ b/pkg/spill/step.go
@@ -16,6 +16,7 @@
 	sv.observed, sv.observedAt = true, now
 	sv.bytes += bytesWeight * (float64(bytes) - sv.bytes)
 	sv.update(from, loads)
+	sp.updateGains(sv)
 	if now >= sv.stepAt {
 		sv.stepAt = now + time.Duration((0.75+sp.fraction()/2)*float64(stepInterval))
 		for ix := range sv.domains {
@@ -35,7 +36,7 @@
 		} else if do := sv.domain(lo.Domain); do != nil {
 			do.load = smooth(do.load, lo)
 		} else if len(sv.domains) < maxDomains {
-			sv.domains = append(sv.domains, domain{load: lo})
+			sv.domains = append(sv.domains, domain{load: lo, phase: phaseStep * float64(len(sv.domains))})
 		}
 	}
 	for ix := len(sv.domains) - 1; ix >= 0; ix-- {
@@ -45,6 +46,19 @@
 	}
 }
 
+// updateGains updates what a request gains by leaving.
+func (sp *Spill) updateGains(sv *service) {
+	for ix := range sv.domains {
+		do := &sv.domains[ix]
+		wait := do.load.Wait
+		if !do.load.Known {
+			wait = do.load.StaleWait
+		}
+		do.gain = sv.own.Wait - wait - sp.config.RoundTrip - sp.price(int64(sv.bytes))
+		do.pressure = do.share > 0 || float64(do.gain) > riseAt*float64(sp.surcharge(sv.own.Wait, Request{}))
+	}
+}
+
 // smooth returns the newest load with waits that are averaged with the previous ones, since they are estimated from a sample of the endpoints. A wait is not
 // averaged with that of a domain without usable endpoints or of unknown load.
 func smooth(before, newest Load) Load {
@@ -58,27 +72,31 @@
 	return newest
 }
 
-// step changes the share of a domain by one step: up while requests gain from leaving, down when they no longer do. Between riseAt and fallAt it stays.
+// step changes the share of a domain by one step: with the gain, further up while requests gain from leaving, and down when they no longer do.
 func (sp *Spill) step(now time.Duration, sv *service, do *domain) {
 	if do.load.Usable == 0 || sv.own.Usable == 0 {
 		// Without usable endpoints in the own domain, the shares do not matter; see Cost.
 		do.share = max(0, do.share-fallStep)
 		return
 	}
-	limit, wait := 1.0, do.load.Wait
+	limit := 1.0
 	if !do.load.Known {
-		limit, wait = probeShare, do.load.StaleWait
+		limit = probeShare
 	}
-	gain := float64(sv.own.Wait - wait - sp.config.RoundTrip - sp.price(int64(sv.bytes)))
 	charge := float64(sp.surcharge(sv.own.Wait, Request{}))
+	gain := float64(do.gain)
+	step := shareOfGain * (do.gain - do.gainBefore).Seconds()
+	do.gainBefore = do.gain
 	switch {
 	case gain < fallAt*charge:
-		do.share = max(0, do.share-fallStep)
-	case gain > riseAt*charge && do.recentRefusals(now) < minRefusals:
-		do.share = min(limit, do.share+min(maxRise, maxRise*gain/(2*charge)))
-	default:
-		do.share = min(limit, do.share)
+		step = min(step, 0) - fallStep
+	case gain > riseAt*charge:
+		step += shareOfGain * do.gain.Seconds() * stepInterval.Seconds() / gainTime.Seconds()
+	}
+	if do.recentRefusals(now) > minRefusals {
+		step = min(step, 0)
 	}
+	do.share = min(max(0, do.share+min(max(-maxStep, step), maxStep)), limit)
 }
 
 // change returns the change of the largest share since the last one that was returned, if it is large enough.
