Place: a request that would be refused as late leaves the domain without the surcharge

Cause: under pressure, requests outside the share stay even if their queue time is beyond the limit of their rank.

--- a/internal/emul/scenario.go
+++ b/internal/emul/scenario.go
@@ -172,9 +172,7 @@
 	fast := withName(uneven, "fast", "the same runners, undisturbed, with 16 slots and 157 tokens per ms")
 	fast.Runner.Slots, fast.Runner.PrefillTokensPerMs, fast.Classes = 16, 157, scaled(birligiClasses, 2.2)
 	fast.Unevenness.DisturbedShare = 0
-	scarce := withName(surge, "scarce-domain", "the same with a failure domain that has six of 60 runners")
-	scarce.FirstDomain = 6
-	return append(list, uneven, unevenSilent, fast, surge, scarce, overload, hot, limited, limitedAll, mixed, mixedSurge, brittle, brittleLarge, cut, cutMost)
+	return append(list, uneven, unevenSilent, fast, surge, withFirstDomain(surge, "scarce-domain", "the same with a failure domain that has six of 60 runners", 6), overload, hot, limited, limitedAll, mixed, mixedSurge, brittle, brittleLarge, cut, cutMost)
 }
 
 // FindScenario returns the scenario with the given name.
@@ -192,6 +190,11 @@
 	return sc
 }
 
+func withFirstDomain(sc Scenario, name, description string, runners int) Scenario {
+	sc.Name, sc.Description, sc.FirstDomain = name, description, runners
+	return sc
+}
+
 // scaled returns the classes with their arrival rates and numbers of shared prefixes multiplied by factor.
 func scaled(list []Class, factor float64) []Class {
 	out := make([]Class, 0, len(list))
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -164,9 +164,6 @@
 	if pr.info.LastEvent > 0 || pr.info.Resumes != "" {
 		args = append(args, "resumes", pr.info.Resumes, "lastEvent", pr.info.LastEvent, "versionFrom", le.buildSource)
 	}
-	if le.leftFor != "" {
-		args = append(args, "domain", le.domain, "leftFor", le.leftFor)
-	}
 	if le.withheld > 0 || le.permitFrom != "" {
 		args = append(args, "withheld", le.withheld, "permitFrom", le.permitFrom)
 	}
--- a/internal/gate/returns.go
+++ b/internal/gate/returns.go
@@ -90,6 +90,9 @@
 	if le.queued > 0 {
 		args = append(args, "queued", seconds(le.queued))
 	}
+	if le.leftFor != "" {
+		args = append(args, "domain", le.domain, "leftFor", le.leftFor)
+	}
 	if returned {
 		args = append(args, "returned", true)
 	}
--- a/pkg/place/balancer.go
+++ b/pkg/place/balancer.go
@@ -118,7 +118,7 @@
 	if de.Endpoint == nil {
 		return Decision{Reason: "every endpoint was tried", RetryAfter: minRetryAfter, Candidates: len(list)}
 	}
-	return ba.takePermit(now, refuseLate(*rq, de))
+	return ba.takePermit(now, refuseLate(*rq, ba.leaveLate(now, se, ix, rq, de)))
 }
 
 // pickSampled chooses one of a sample of a long list. It returns false if all endpoints must be examined: because some have rate limits or are brittle, because
--- a/pkg/place/spillover.go
+++ b/pkg/place/spillover.go
@@ -25,6 +25,8 @@
 	// draw and change are those of the current decision.
 	draw   float64
 	change spill.Change
+	// late is true while a decision is made again for a request that would be refused in its domain.
+	late bool
 	// costs are the costs of leaving for the current request, by the index of the domain in index.names.
 	costs []leavingCosts
 	// loads and waits are used by observe.
@@ -54,7 +56,7 @@
 // prepareSpill prepares the costs of leaving for a request.
 func (ba *Balancer) prepareSpill(now time.Duration, se *plan.Service, ix *index, rq *Request) {
 	so := &ba.spillover
-	so.draw, so.costs = 0, so.costs[:0]
+	so.costs = so.costs[:0]
 	if rq.Domain == "" || (len(ix.names) == 1 && ix.names[0] == rq.Domain) {
 		for range ix.names {
 			so.costs = append(so.costs, leavingCosts{})
@@ -65,7 +67,9 @@
 	if !rq.Resumed && so.spill.Due(now, se.Name) {
 		so.change = so.spill.Observe(now, se.Name, rq.Domain, ba.observe(now, se, ix, rq), rq.bytes())
 	}
-	so.draw = so.spill.Draw(se.Name)
+	if !so.late {
+		so.draw = so.spill.Draw(se.Name)
+	}
 	for _, name := range ix.names {
 		sr := so.request(rq)
 		co := leavingCosts{known: so.spill.Cost(now, se.Name, rq.Domain, name, sr)}
@@ -81,7 +85,7 @@
 
 // request returns what the costs of leaving depend on.
 func (so *spillover) request(rq *Request) spill.Request {
-	return spill.Request{Bytes: rq.bytes(), TimeLeft: rq.TimeLeft, Draw: so.draw}
+	return spill.Request{Bytes: rq.bytes(), TimeLeft: rq.TimeLeft, Draw: so.draw, Late: so.late}
 }
 
 // leavingCost returns the cost of sending the request to an endpoint in the failure domain with the index, if that is another one; held is true for the holder of its prefix.
@@ -112,6 +116,22 @@
 	de.LeftFor = so.spill.Reason(se.Name, de.Domain, sr)
 }
 
+// leaveLate chooses again among the collected candidates, without the surcharge for leaving the domain, if the request would be refused as late in it.
+func (ba *Balancer) leaveLate(now time.Duration, se *plan.Service, ix *index, rq *Request, de Decision) Decision {
+	so := &ba.spillover
+	if de.Endpoint == nil || rq.Domain == "" || len(ix.names) < 2 || de.Endpoint.Domain != rq.Domain || refuseLate(*rq, de).Endpoint != nil {
+		return de
+	}
+	so.late = true
+	holder := ba.prefixHolder(ix, ix.preferredEndpoint(rq, ba.limited > 0 && ba.limited < len(ix.list)), rq)
+	other := ba.leastCost(now, se, ix, holder, rq, false)
+	so.late = false
+	if other.Endpoint == nil || refuseLate(*rq, other).Endpoint == nil {
+		return de
+	}
+	return other
+}
+
 // loadKnown reports whether the endpoint or a peer has said something of its load recently.
 func (st *state) loadKnown(now time.Duration) bool {
 	return st.hasLoad(now) || (st.peerTokensAt > 0 && now-st.peerTokensAt <= maxLoadAge)
--- a/pkg/spill/spill.go
+++ b/pkg/spill/spill.go
@@ -93,6 +93,8 @@
 	// Holder reports whether the endpoint is assumed to have a long shared prefix of the request cached. Prefilling it once more in each domain costs more than
 	// the transfer.
 	Holder bool
+	// Late reports whether the request would be refused if it stayed in its domain.
+	Late bool
 	// Stale reports whether the load of the endpoint is unknown.
 	Stale bool
 	// Draw is the result of Spill.Draw for the request.
@@ -189,6 +191,12 @@
 	if rq.Holder || sp.config.Surcharge == 0 || (do != nil && rq.leaves(do)) {
 		return cost
 	}
+	if rq.Late && rq.Stale {
+		return cost + sv.staleCost(do)
+	}
+	if rq.Late {
+		return cost
+	}
 	return cost + sp.heldCost(sv, do, rq)
 }
 
@@ -204,6 +212,8 @@
 		return "no usable endpoint in the domain"
 	case rq.Holder:
 		return "cached prefix"
+	case rq.Late:
+		return "late in the domain"
 	case do != nil && rq.leaves(do):
 		return "pressure"
 	default:
