--- a/pkg/spill/spill.go
+++ b/pkg/spill/spill.go
@@ -191,10 +191,10 @@
 	if rq.Holder || sp.config.Surcharge == 0 || (do != nil && rq.leaves(do)) {
 		return cost
 	}
-	if rq.Late && rq.Stale {
-		return cost + sv.staleCost(do)
-	}
-	if rq.Late {
+	if rq.Late && do != nil && do.pressure {
+		if rq.Stale {
+			cost += sv.staleCost(do)
+		}
 		return cost
 	}
 	return cost + sp.heldCost(sv, do, rq)
@@ -212,7 +212,7 @@
 		return "no usable endpoint in the domain"
 	case rq.Holder:
 		return "cached prefix"
-	case rq.Late:
+	case rq.Late && do != nil && do.pressure:
 		return "late in the domain"
 	case do != nil && rq.leaves(do):
 		return "pressure"
