--- a/pkg/verify/check.go
+++ b/pkg/verify/check.go
@@ -97,6 +97,7 @@
 		re.checkMatch(ro)
 		re.checkBackends(ro, services)
 		re.checkTimes(ro)
+		re.checkAttempts(ro)
 	}
 }
 
@@ -138,34 +139,42 @@
 	}
 }
 
-// checkTimes reports times and numbers of attempts that contradict each other.
+// checkTimes reports times that contradict each other.
 func (re *report) checkTimes(ro plan.Route) {
 	entry := "route " + ro.Name
 	if ro.Timeout < 0 || ro.LatencyTarget < 0 || ro.InterEventTarget < 0 {
 		re.add(Error, entry, "a time is below zero")
 		return
 	}
-	if ro.Timeout > 0 && ro.LatencyTarget > ro.Timeout {
+	if idle := re.config.Limits.IdleTimeout; idle > 0 && idle < ro.LatencyTarget {
+		re.add(Warning, entry, "the latency target %s is longer than the idle timeout %s of callers' connections", ro.LatencyTarget, idle)
+	}
+	if ro.InterEventTarget > 0 && !ro.Stream {
+		re.add(Warning, entry, "the target between two events has no effect: responses are no streams")
+	}
+	if ro.Timeout == 0 {
+		return
+	}
+	if ro.LatencyTarget > ro.Timeout {
 		re.add(Warning, entry, "the latency target %s is longer than the timeout %s", ro.LatencyTarget, ro.Timeout)
 	}
-	if ro.Timeout > 0 && ro.InterEventTarget > ro.Timeout {
+	if ro.InterEventTarget > ro.Timeout {
 		re.add(Warning, entry, "the target %s between two events is longer than the timeout %s", ro.InterEventTarget, ro.Timeout)
 	}
-	if ro.InterEventTarget > 0 && !ro.Stream {
-		re.add(Warning, entry, "the target between two events has no effect: responses are no streams")
+	if header := re.config.Limits.HeaderTimeout; header > ro.Timeout {
+		re.add(Warning, entry, "the timeout %s is shorter than the time %s that callers have for the headers", ro.Timeout, header)
 	}
+}
+
+// checkAttempts reports numbers of attempts that contradict what may be repeated.
+func (re *report) checkAttempts(ro plan.Route) {
+	entry := "route " + ro.Name
 	if ro.MaxAttempts > 1 && ro.RetrySafety == plan.Once {
 		re.add(Warning, entry, "%d attempts are allowed, but a request that may have run is never sent again", ro.MaxAttempts)
 	}
 	if ro.MaxAttempts == 1 && ro.RetrySafety == plan.Resumable {
 		re.add(Warning, entry, "a broken stream is not resumed within its response: one attempt is allowed")
 	}
-	if header := re.config.Limits.HeaderTimeout; ro.Timeout > 0 && header > ro.Timeout {
-		re.add(Warning, entry, "the timeout %s is shorter than the time %s that callers have for the headers", ro.Timeout, header)
-	}
-	if idle := re.config.Limits.IdleTimeout; ro.Timeout > 0 && idle > 0 && idle < ro.LatencyTarget {
-		re.add(Warning, entry, "the latency target %s is longer than the idle timeout %s of callers' connections", ro.LatencyTarget, idle)
-	}
 }
 
 func (re *report) checkServices() {
--- a/pkg/verify/verify_test.go
+++ b/pkg/verify/verify_test.go
@@ -43,8 +43,8 @@
 		{"host with a port", func(co *plan.Config) { co.Routes[0].Host = "a.example:80" }, []string{
 			`warning: route review: never matches: the host "a.example:80" is no host name; ports are removed from the hosts of requests`,
 		}},
-		{"unknown service", func(co *plan.Config) { co.Services[0].Name = "modle" }, []string{
-			"error: route review: service model does not exist", "warning: service modle: no route sends requests to the service",
+		{"unknown service", func(co *plan.Config) { co.Services[0].Name = "other" }, []string{
+			"error: route review: service model does not exist", "warning: service other: no route sends requests to the service",
 		}},
 		{"weights of zero", func(co *plan.Config) { co.Routes[0].Backends[0].Weight = 0 }, []string{
 			"error: route review: no service is chosen: the weights add up to 0",
