--- a/pkg/quota/balance.go
+++ b/pkg/quota/balance.go
@@ -34,7 +34,7 @@
 	aheadPause    = 150 * time.Millisecond
 	maxAheadPause = 600 * time.Millisecond
 	// minReadInterval is the minimum time between two reads of the topic because loans fall short.
-	minReadInterval = 100 * time.Millisecond
+	minReadInterval = 300 * time.Millisecond
 	// fastHalfLife is the half-life of the faster average of the demand for loans, so that a burst raises the target within a second.
 	fastHalfLife = time.Second
 )
