Quota: reports of spending go to lenders in proportion to what they lent

Change: the receiver is drawn in proportion to what each lender has lent; a stopping instance reports at once.

--- a/internal/edge/transfers.go
+++ b/internal/edge/transfers.go
@@ -129,7 +129,7 @@
 
 // reportSpending tells lenders which of their tokens were spent here, if no row of this instance says so.
 func (tf *transfers) reportSpending(sh *quota.Shard) {
-	for _, re := range sh.TakeSpendingReports(tf.edge.config.Clock()) {
+	for _, re := range sh.TakeSpendingReports(tf.edge.config.Clock(), rand.Float64) {
 		notice := mesh.Notice{Spending: []mesh.SpendingNotice{{Team: re.Team, Tokens: re.Tokens}}}
 		if err := tf.edge.notifier.SendTo([]string{re.Lender}, notice); err != nil {
 			tf.edge.metrics.Counter("weir_spending_reports_lost_total").Inc()
--- a/pkg/quota/property_test.go
+++ b/pkg/quota/property_test.go
@@ -357,7 +357,7 @@
 		},
 		"report": func(tt *rapid.T) {
 			from, to := si.instances[index.Draw(tt, "from")], si.instances[index.Draw(tt, "to")]
-			for _, re := range from.shard.TakeSpendingReports(si.now) {
+			for _, re := range from.shard.TakeSpendingReports(si.now, func() float64 { return 0 }) {
 				for range rapid.IntRange(0, 2).Draw(tt, "copies") {
 					to.shard.ApplySpendingReport(re.Team, re.Tokens)
 				}
--- a/pkg/quota/report.go
+++ b/pkg/quota/report.go
@@ -26,7 +26,8 @@
 
 // TakeSpendingReports returns the reports that are due, ordered by team. What they state no longer counts as spent here, nor as received. If a report is
 // lost, it is as before: nobody knows that the tokens were spent. Tokens used here and at the lender stay the same, so no report affects what can be spent.
-func (sh *Shard) TakeSpendingReports(now time.Duration) []SpendingReport {
+// random returns numbers from 0 to 1, see drawLender.
+func (sh *Shard) TakeSpendingReports(now time.Duration, random func() float64) []SpendingReport {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	var list []SpendingReport
@@ -35,10 +36,10 @@
 			continue
 		}
 		tokens := min(ac.spent, ac.received-ac.lent)
-		if tokens <= 0 || (tokens < sh.totals[team]/reportDivisor && now-ac.reportedAt < reportInterval) {
+		if tokens <= 0 || (!sh.closing && tokens < sh.totals[team]/reportDivisor && now-ac.reportedAt < reportInterval) {
 			continue
 		}
-		lender := sh.largestLender(team, now)
+		lender := sh.drawLender(team, now, random)
 		if lender == "" {
 			continue
 		}
@@ -51,19 +52,27 @@
 	return list
 }
 
-// largestLender returns the active instance that has lent the most tokens of a team, or an empty name.
-func (sh *Shard) largestLender(team string, now time.Duration) string {
-	name, most := "", int64(0)
+// drawLender returns one of the active instances that have lent tokens of a team, or an empty name. Each is drawn in proportion to what it has lent: a report
+// for more than that is cut, and all borrowers together would report more to the largest one than it has lent.
+func (sh *Shard) drawLender(team string, now time.Duration, random func() float64) string {
+	sum := int64(0)
+	var names []string
 	for instance, sr := range sh.rows[team] {
-		lent := sr.row.NetLent
-		if instance == sh.config.Instance || now-sr.seenAt > activeSpan || lent <= 0 {
-			continue
+		if instance != sh.config.Instance && now-sr.seenAt <= activeSpan && sr.row.NetLent > 0 {
+			sum += sr.row.NetLent
+			names = append(names, instance)
 		}
-		if lent > most || (lent == most && instance < name) {
-			name, most = instance, lent
+	}
+	slices.Sort(names)
+	point := int64(random() * float64(sum))
+	for _, name := range names {
+		lent := sh.rows[team][name].row.NetLent
+		if point < lent {
+			return name
 		}
+		point -= lent
 	}
-	return name
+	return ""
 }
 
 // ApplySpendingReport counts tokens that this instance lent as spent.
--- a/pkg/quota/report_test.go
+++ b/pkg/quota/report_test.go
@@ -47,7 +47,7 @@
 			holder.appendRow(tt)
 			borrower.poll(tt)
 			used := holder.shard.account(testTeam).used()
-			reports := borrower.shard.TakeSpendingReports(si.now)
+			reports := borrower.shard.TakeSpendingReports(si.now, func() float64 { return 0 })
 			want := []SpendingReport{{Team: testTeam, Tokens: lent, Lender: "instance-0"}}
 			if diff := cmp.Diff(want, reports); diff != "" {
 				tt.Fatalf("reports (-want +got):\n%s", diff)
