--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -53,6 +53,7 @@
 	for _, sh := range ed.quotas.Shards() {
 		// The balance of an instance without a row is given back by a call, not by a row.
 		ed.transfers.returnSurplus(sctx, sh)
+		ed.transfers.reportSpending(sh)
 	}
 	settled := ed.awaitSettled(loops, begun.Add(grace-exitMargin))
 	ed.config.Logger.Info("drained", "took", time.Since(begun).Seconds(), "settled", settled)
