--- a/internal/gate/room.go
+++ b/internal/gate/room.go
@@ -18,8 +18,12 @@
 func (fw *forwarder) awaitRoom(refusal place.Decision) place.Decision {
 	pr := fw.request
 	cf := pr.gate.config
+	if !lacksCapacity(refusal) || fw.attempts > 0 || len(fw.tried) > 0 {
+		return refusal
+	}
 	wait := pr.route.LatencyTarget / roomWaitShare
-	if _, elsewhere := cf.Shedder.Elsewhere(pr.timeLeft()); elsewhere || fw.attempts > 0 || len(fw.tried) > 0 || wait <= 0 || !lacksCapacity(refusal) || !mayHelp(refusal, pr.placement(nil), wait) {
+	_, elsewhere := cf.Shedder.Elsewhere(pr.timeLeft())
+	if elsewhere || wait <= 0 || !mayHelp(refusal, pr.placement(nil), wait) {
 		return refusal
 	}
 	start := pr.now()
--- a/internal/soak/early_test.go
+++ b/internal/soak/early_test.go
@@ -21,15 +21,6 @@
 	earlyPause = 20 * time.Millisecond
 )
 
-// earlyKinds are responses that an endpoint in trouble begins to write before it has read the request. "%s" stands for the request ID and for the
-// signature of the whole response.
-var earlyKinds = []struct{ name, text string }{
-	{"200 without a length, cut by a reset", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\n\r\nthe first par"},
-	{"status 000", "HTTP/1.1 000 \r\nAttempt-Id: %s\r\nServer-Signature: %s\r\nContent-Length: 3\r\n\r\nodd"},
-	{"status 000 without a reason, and the regular status behind it", "HTTP/1.1 000\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\nContent-Length: 3\r\n\r\nodd"},
-	{"status 700", "HTTP/1.1 700 Odd\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\nContent-Length: 3\r\n\r\nodd"},
-}
-
 // TestBrokenResponsesDuringUpload guards against parts of responses and responses without a valid status that a caller gets as complete ones: an endpoint
 // writes them while the instance is still sending a long request, and then resets the connection.
 func TestBrokenResponsesDuringUpload(tt *testing.T) {
@@ -42,11 +33,11 @@
 	// Without a link: one that writes while it is reset forwards the reset as a regular end.
 	wo.startRaw("early", "plain", re, nil)
 	client := newClient()
-	for ix, ek := range earlyKinds {
+	for ix, ek := range stand.EarlyResponses {
 		re.setHandler(func(nc net.Conn, rq *http.Request, _ int) bool {
 			id := rq.Header.Get(stand.HeaderRequestID)
 			re.begin(rq)
-			_, _ = fmt.Fprintf(nc, ek.text, id, stand.Sign(http.StatusOK, id, stand.ResponseBody(id)))
+			_, _ = fmt.Fprintf(nc, ek.Text, id, stand.Sign(http.StatusOK, id, stand.ResponseBody(id)))
 			time.Sleep(earlyPause)
 			_ = nc.(*net.TCPConn).SetLinger(0)
 			return false
@@ -56,10 +47,10 @@
 			status, body, complete := wo.upload(client, wo.nodes[0], id)
 			// Until the instance has read that they are gone, the regular endpoints serve requests.
 			if complete && status/100 != 4 && status/100 != 5 && (status != http.StatusOK || body != stand.ResponseBody(id)) {
-				tt.Errorf("%s: request %s got %q with status %d as a complete response, want a failure or a broken connection", ek.name, id, body, status)
+				tt.Errorf("%s: request %s got %q with status %d as a complete response, want a failure or a broken connection", ek.Name, id, body, status)
 			}
 			if status == http.StatusServiceUnavailable && re.runs(id) > 0 {
-				tt.Errorf("%s: request %s was refused as not run, and ran", ek.name, id)
+				tt.Errorf("%s: request %s was refused as not run, and ran", ek.Name, id)
 			}
 		}
 		sum := 0
@@ -67,7 +58,7 @@
 			sum += re.runs(fmt.Sprintf("early-%d-%d", ix, number))
 		}
 		if sum < earlyRequests/2 {
-			tt.Errorf("%s: %d of %d requests reached the endpoint, want at least half of them", ek.name, sum, earlyRequests)
+			tt.Errorf("%s: %d of %d requests reached the endpoint, want at least half of them", ek.Name, sum, earlyRequests)
 		}
 	}
 }
--- a/pkg/place/balancer.go
+++ b/pkg/place/balancer.go
@@ -73,7 +73,11 @@
 
 // NewBalancer returns a balancer that knows nothing of any endpoint.
 func NewBalancer() *Balancer {
-	return &Balancer{states: map[string]*state{}, limits: newRateLimits(), fleet: fleet{instances: 1, random: newRandom(""), usage: map[string]*usage{}}, brittle: map[string]brittleService{}, estimates: map[string]*estimate{}, spillover: spillover{spill: spill.New(spill.DefaultConfig())}}
+	return &Balancer{
+		states: map[string]*state{}, limits: newRateLimits(), brittle: map[string]brittleService{}, estimates: map[string]*estimate{},
+		fleet:     fleet{instances: 1, random: newRandom(""), usage: map[string]*usage{}},
+		spillover: spillover{spill: spill.New(spill.DefaultConfig())},
+	}
 }
 
 // Pick chooses one of the listed endpoints of a service for a request. It refuses the request if all endpoints were tried, or if no
