--- a/internal/edge/export_test.go
+++ b/internal/edge/export_test.go
@@ -11,3 +11,6 @@
 
 // Shedding reports whether the instance refuses requests.
 func (ed *Edge) Shedding() bool { return ed.overload.shedder.State(ed.config.Clock()).Shedding }
+
+// LinkCut reports whether the link to the endpoints counts as cut.
+func (ed *Edge) LinkCut() bool { return ed.paths.LinkCut() }
--- a/internal/edge/paths.go
+++ b/internal/edge/paths.go
@@ -65,7 +65,7 @@
 	case err == nil:
 		pa.tracker.Connected()
 	case ctx.Err() == nil && pa.tracker.DialFailed(pa.edge.config.Clock(), endpoint, pa.edge.roster.UsableCount()):
-		pa.edge.balancer.ForgetLoad(pa.edge.config.Clock())
+		pa.confirmCut(endpoint)
 	}
 	return nc, err
 }
--- a/internal/edge/probes.go
+++ b/internal/edge/probes.go
@@ -15,8 +15,10 @@
 const (
 	// probeTimeout bounds a probe of the path to an endpoint.
 	probeTimeout = 400 * time.Millisecond
-	// maxProbed is the number of endpoints that are probed at the same time. One of them may have failed itself.
+	// maxProbed is the number of endpoints that are probed at the same time, and maxProbes that of all. Some of them may have failed themselves:
+	// requests that crash endpoints take several within a second.
 	maxProbed = 2
+	maxProbes = 16
 )
 
 // probeRequest is a request that every endpoint answers, and that none runs.
@@ -49,6 +51,25 @@
 	case len(pa.others(endpoint)) == 0:
 		return true
 	}
+	return pa.check(endpoint, relayed)
+}
+
+// confirmCut probes the link after connections to several endpoints could not be opened, and counts it as cut unless another endpoint answers.
+func (pa *paths) confirmCut(endpoint string) {
+	pa.probes.mu.Lock()
+	defer pa.probes.mu.Unlock()
+	switch {
+	case pa.tracker.Cut():
+	case len(pa.others(endpoint)) == 0:
+		pa.countAsCut()
+	case pa.check(endpoint, false):
+		pa.tracker.Connected()
+	}
+}
+
+// check probes other endpoints than the given one and reports whether one has answered; the caller holds the lock of the probes.
+func (pa *paths) check(endpoint string, relayed bool) bool {
+	pr := &pa.probes
 	dial := pa.direct.Dial
 	if relayed {
 		dial = pa.relay
@@ -56,12 +77,19 @@
 	pr.begunAt, pr.excluded, pr.relayed = pa.edge.config.Clock(), endpoint, relayed
 	pr.works = pa.probeAny(context.Background(), endpoint, dial)
 	pa.edge.metrics.Counter("weir_link_checks_total").Inc()
-	if now := pa.edge.config.Clock(); !relayed && !pr.works && pa.tracker.Broken(now) {
-		pa.edge.balancer.ForgetLoad(now)
+	if !relayed && !pr.works {
+		pa.countAsCut()
 	}
 	return pr.works
 }
 
+// countAsCut makes the link count as cut from now on.
+func (pa *paths) countAsCut() {
+	if now := pa.edge.config.Clock(); pa.tracker.Broken(now) {
+		pa.edge.balancer.ForgetLoad(now)
+	}
+}
+
 // others returns the endpoints of all services but the given one.
 func (pa *paths) others(endpoint string) []*roster.Endpoint {
 	all := pa.edge.roster.All()
@@ -74,23 +102,37 @@
 	return list
 }
 
-// probeAny probes random endpoints other than the excluded one at the same time and reports whether one has answered.
+// probeAny probes random endpoints other than the excluded one and reports whether one has answered. Endpoints to which connections have failed recently
+// come last: most of them are down.
 func (pa *paths) probeAny(ctx context.Context, excluded string, dial dialFunc) bool {
-	list := pa.others(excluded)
-	rand.Shuffle(len(list), func(ii, jj int) { list[ii], list[jj] = list[jj], list[ii] })
-	list = list[:min(len(list), maxProbed)]
+	others := pa.others(excluded)
+	rand.Shuffle(len(others), func(ii, jj int) { others[ii], others[jj] = others[jj], others[ii] })
+	now := pa.edge.config.Clock()
+	list := make([]*roster.Endpoint, 0, len(others))
+	for _, failed := range []bool{false, true} {
+		for _, en := range others {
+			if pa.tracker.Failed(now, en.ID) == failed {
+				list = append(list, en)
+			}
+		}
+	}
+	list = list[:min(len(list), maxProbes)]
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	answers := make(chan bool, len(list))
-	for _, en := range list {
-		go pa.runProbe(ctx, en, dial, answers)
-	}
-	for range list {
+	begun, ended := 0, 0
+	for {
+		for ; begun < len(list) && begun-ended < maxProbed && ctx.Err() == nil; begun++ {
+			go pa.runProbe(ctx, list[begun], dial, answers)
+		}
+		if begun == ended {
+			return false
+		}
 		if <-answers {
 			return true
 		}
+		ended++
 	}
-	return false
 }
 
 // runProbe sends a request to an endpoint and reports whether anything came back.
--- a/pkg/reach/tracker.go
+++ b/pkg/reach/tracker.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// minEndpoints is the number of different endpoints that must be unreachable before the link counts as cut.
+	// minEndpoints is the number of different endpoints that must be unreachable, or silent, before the link is suspected to be cut.
 	minEndpoints = 2
 	// failureExpiry is the age from which a failed connection attempt no longer counts.
 	failureExpiry = 2 * time.Second
@@ -56,8 +56,8 @@
 	return tr.cut && now-tr.dataAt >= silenceTime
 }
 
-// DialFailed records that no connection to an endpoint could be opened, and reports whether the link counts as cut from now on. known is the number
-// of endpoints.
+// DialFailed records that no connection to an endpoint could be opened, and reports whether the link is suspected to be cut, so that other endpoints
+// should be probed: several that have crashed stay registered for some seconds, while the others can be reached. known is the number of endpoints.
 func (tr *Tracker) DialFailed(now time.Duration, endpoint string, known int) bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
@@ -67,14 +67,18 @@
 			delete(tr.failedAt, id)
 		}
 	}
-	if tr.cut || len(tr.failedAt) < min(minEndpoints, max(1, known)) {
-		return false
-	}
-	tr.setCut(now)
-	return true
+	return !tr.cut && len(tr.failedAt) >= min(minEndpoints, max(1, known))
+}
+
+// Failed reports whether the last attempt to connect to an endpoint failed recently.
+func (tr *Tracker) Failed(now time.Duration, endpoint string) bool {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	at, ok := tr.failedAt[endpoint]
+	return ok && now-at <= failureExpiry
 }
 
-// Broken records that connections to several endpoints were broken at once, and reports whether the link counts as cut from now on.
+// Broken records that no probed endpoint could be reached, and reports whether the link counts as cut from now on.
 func (tr *Tracker) Broken(now time.Duration) bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
--- a/pkg/reach/tracker_test.go
+++ b/pkg/reach/tracker_test.go
@@ -11,8 +11,22 @@
 	do func(tr *Tracker, now time.Duration)
 }
 
+// dialFailed is a failed connection attempt, after which no probe is answered if the link is suspected to be cut.
 func dialFailed(endpoint string) func(*Tracker, time.Duration) {
-	return func(tr *Tracker, now time.Duration) { tr.DialFailed(now, endpoint, 5) }
+	return func(tr *Tracker, now time.Duration) {
+		if tr.DialFailed(now, endpoint, 5) {
+			tr.Broken(now)
+		}
+	}
+}
+
+// dialFailedAlone is a failed connection attempt, after which a probe of another endpoint is answered if the link is suspected to be cut.
+func dialFailedAlone(endpoint string) func(*Tracker, time.Duration) {
+	return func(tr *Tracker, now time.Duration) {
+		if tr.DialFailed(now, endpoint, 5) {
+			tr.Connected()
+		}
+	}
 }
 
 func sent(endpoint string) func(*Tracker, time.Duration) {
@@ -40,6 +54,9 @@
 		{"two endpoints can't be reached, with a connection to another one between", []event{
 			{second, dialFailed("a")}, {second, connected}, {second, dialFailed("b")},
 		}, false},
+		{"several endpoints have crashed and another one answers", []event{
+			{second, dialFailedAlone("a")}, {second, dialFailedAlone("b")}, {second, dialFailedAlone("c")}, {second, dialFailedAlone("d")},
+		}, false},
 		{"two endpoints could not be reached at different times", []event{{second, dialFailed("a")}, {4 * second, dialFailed("b")}}, false},
 		{"one endpoint falls silent", []event{{second, sent("a")}, {second, sent("a")}, {3 * second, check}}, false},
 		{"all endpoints fall silent", []event{{second, sent("a")}, {second, sent("b")}, {2 * second, check}}, true},
