Quota: compute an instance's own need once for each loan

Shard.surplus called ownNeed twice with the same arguments, which reads the demand meter and the estimate of the team a second time for each loan. It is computed once; the value is the same, since nothing that it reads changes in between.

--- a/pkg/quota/ahead.go
+++ b/pkg/quota/ahead.go
@@ -169,8 +169,8 @@
 // surplus returns the number of tokens that this instance can lend, and the number that it could lend if its ceiling did not bound them.
 func (sh *Shard) surplus(ac *account, now time.Duration) (surplus, beyond int64) {
 	excess := sh.excess(ac.team)
-	beyond = ac.granted() - excess - ac.used() - sh.ownNeed(ac, now)
 	own := sh.ownNeed(ac, now)
+	beyond = ac.granted() - excess - ac.used() - own
 	if ac.inForce != nil && now-ac.inForce.builtAt < 2*renewInterval {
 		// The next row raises the ceiling well before the demand of retainSeconds has come.
 		own = ac.waiting
