Gate: files of their own for failed attempts, the quarantine and timeouts

forward.go had 402 lines and mixed the path of a request with rules that are read on their own. Pure moves: - failure.go: the outcome of a failed attempt, whether the request is retried, and the final error; - quarantine.go: the properties by which the quarantine recognizes a request, and its check; - stall.go: the timeouts of attempts and events, next to the watch that applies them; - availability.go: rejections by brittle endpoints, next to the other statements of endpoints about themselves.

forward.go has 246 lines.

--- a/internal/gate/availability.go
+++ b/internal/gate/availability.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"net/http"
+
 	"github.com/clementineweir/clementineweir/pkg/place"
 )
 
@@ -22,3 +24,15 @@
 		cf.Logger.Info("endpoint wants no requests", "endpoint", de.Endpoint.ID, "for", ri.RefusalTime.Seconds(), "request", pr.info.ID)
 	}
 }
+
+// recordRejection records that a brittle endpoint had no room for the request, and notifies the peers.
+func (fw *forwarder) recordRejection(de place.Decision, at *place.Attempt, status int) {
+	cf := fw.request.gate.config
+	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+		return
+	}
+	if at.RecordRejection(fw.request.now()) {
+		cf.Metrics.Counter("weir_brittle_rejections_total").Inc()
+		cf.Notifier.NotifyRejection(de.Endpoint.Process())
+	}
+}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -2,40 +2,17 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/clementineweir/clementineweir/internal/conns"
-	"github.com/clementineweir/clementineweir/pkg/blame"
 	"github.com/clementineweir/clementineweir/pkg/fault"
 	"github.com/clementineweir/clementineweir/pkg/place"
-	"github.com/clementineweir/clementineweir/pkg/plan"
 	"github.com/clementineweir/clementineweir/pkg/roster"
 )
 
-const (
-	// maxUnreachable bounds the failed connection attempts to endpoints for one request.
-	maxUnreachable = 4
-	// minTimeLeft is the minimum time left until the deadline for a retry. With less, an endpoint could not finish the request.
-	minTimeLeft = 10 * time.Millisecond
-	// firstEventTimeoutFactor gives the timeout for the first event of a resumable stream: firstEventTimeoutFactor * the estimated time to the
-	// first event, at least minStallTimeout. After the timeout the stream is retried on another endpoint.
-	firstEventTimeoutFactor = 6
-	// minStallTimeout is the minimum timeout for each event of a resumable stream: a busy endpoint may take this long.
-	minStallTimeout = 1200 * time.Millisecond
-	// eventTimeoutFactor gives the timeout for each later event of a resumable stream: eventTimeoutFactor * the route's InterEventTarget, at
-	// least minStallTimeout. After the timeout the stream resumes on another endpoint.
-	eventTimeoutFactor = 4
-	// plainTimeoutFactor gives the timeout of an attempt of an idempotent request: plainTimeoutFactor * the route's LatencyTarget, at least
-	// minTimeLeft. After the timeout the request is retried.
-	plainTimeoutFactor = 1
-)
-
 // forward reserves tokens and sends the request to one endpoint after another until a response is relayed or no further attempt is allowed.
 func (pr *proxyRequest) forward() error {
 	pr.traits = pr.findTraits()
@@ -61,35 +38,6 @@
 	return fw.run()
 }
 
-// checkQuarantine returns an error if the request is expected to crash endpoints.
-func (pr *proxyRequest) checkQuarantine() error {
-	left, blocked := pr.gate.config.Quarantine.Blocked(pr.traits)
-	if !blocked {
-		return nil
-	}
-	pr.entry.quarantined = true
-	pr.gate.config.Metrics.Counter("weir_quarantined_requests_total").Inc()
-	return fault.New(fault.Quarantined, fault.NotRun, "requests like this one have crashed several endpoints").WithRetryAfter(left)
-}
-
-// findTraits returns the properties that the request may share with others. The last part of the prompt belongs to the request alone and is
-// left out.
-func (pr *proxyRequest) findTraits() blame.Request {
-	rq := blame.Request{Content: pr.hashContent()}
-	for ix := 0; ix+1 < len(pr.info.Parts); ix++ {
-		rq.Parts = append(rq.Parts, pr.info.Parts[ix].ID)
-	}
-	return rq
-}
-
-// hashContent returns the hash that identifies equal requests of one team: it covers the method, the target, the team key and the body.
-func (pr *proxyRequest) hashContent() uint64 {
-	di := xxhash.New()
-	_, _ = di.WriteString(pr.httpRequest.Method + " " + pr.httpRequest.RequestURI + "\x00" + pr.info.Key + "\x00")
-	_, _ = di.Write(pr.body)
-	return di.Sum64()
-}
-
 // forwarder sends one request to endpoints and keeps its state between attempts.
 type forwarder struct {
 	request *proxyRequest
@@ -216,58 +164,6 @@
 	return min(pr.timeLeft(), max(2*time.Second, 4*pr.route.LatencyTarget, 8*pr.route.InterEventTarget))
 }
 
-// mayRetry reports whether the request may be sent to another endpoint after an error.
-func (fw *forwarder) mayRetry(err error) bool {
-	pr := fw.request
-	if fw.ctx.Err() != nil || pr.timeLeft() < minTimeLeft {
-		return false
-	}
-	fa := fault.From(err, fault.MayHaveRun)
-	switch {
-	case fa.Kind() == fault.Unavailable && fa.Verdict() == fault.NotRun:
-		fw.unreachable++
-		return fw.unreachable < maxUnreachable
-	case fw.attempts >= pr.route.MaxAttempts:
-		return false
-	case fa.Kind() == fault.Canceled:
-		return false
-	case fa.Verdict() == fault.NotRun:
-		return true
-	case fw.headerSent:
-		return pr.route.RetrySafety == plan.Resumable
-	default:
-		return pr.route.RetrySafety != plan.Once
-	}
-}
-
-// conclude returns the final error of the request, or sends the fallback response.
-//
-// If an earlier attempt may have run the request, the error says so, even if the last attempt did not run it. If the instance has stopped, the error
-// says so instead of closing the connection without a response.
-func (fw *forwarder) conclude(err error) error {
-	pr := fw.request
-	if pr.httpRequest.Context().Err() != nil {
-		return fault.Wrap(err, fault.Canceled, fw.verdict.Max(fault.NotRun), "the caller left")
-	}
-	if fw.headerSent {
-		return fault.Wrap(err, fault.Upstream, fault.Ran, "the stream broke off")
-	}
-	if fw.fallback != nil {
-		return fw.fallback.write(pr)
-	}
-	fa := fault.From(err, fault.MayHaveRun)
-	if pr.gate.config.Beliefs.Stopped().Err() != nil {
-		fa = fault.Wrap(err, fault.Unavailable, fa.Verdict(), "the instance was shut down before the response was complete").WithRetryAfter(stoppingRetryAfter)
-	}
-	if fw.verdict > fa.Verdict() {
-		fa = fault.Wrap(err, fault.Upstream, fw.verdict, "an earlier attempt may have run the request")
-	}
-	if errors.Is(fw.ctx.Err(), context.DeadlineExceeded) && fa.Verdict() != fault.NotRun {
-		fa = fault.Wrap(err, fault.Timeout, fa.Verdict(), "the time for the answer is over")
-	}
-	return fa
-}
-
 // send makes one attempt at the chosen endpoint and relays its response.
 func (fw *forwarder) send(de place.Decision) error {
 	pr := fw.request
@@ -348,55 +244,3 @@
 	}
 	return fw.relayComplete(ex, de, ri)
 }
-
-// classifyFailure returns the outcome of an attempt without a response. canceled is true if this instance itself closed the connection.
-func (fw *forwarder) classifyFailure(de place.Decision, err error, canceled bool) (place.Outcome, error) {
-	pr := fw.request
-	fa := fault.From(err, fault.MayHaveRun)
-	switch {
-	case pr.httpRequest.Context().Err() != nil:
-		fw.verdict = fw.verdict.Max(fa.Verdict())
-		if fa.Verdict() != fault.NotRun {
-			pr.updateCost(fw.eventCount)
-		}
-		return place.Canceled, err
-	case fa.Verdict() == fault.NotRun:
-		return place.Unreachable, err
-	}
-	fw.attempts++
-	fw.verdict = fw.verdict.Max(fault.MayHaveRun)
-	pr.updateCost(fw.eventCount)
-	if !canceled {
-		fw.recordCrash(de, err)
-	}
-	return place.Incomplete, err
-}
-
-// recordRejection records that a brittle endpoint had no room for the request, and notifies the peers.
-func (fw *forwarder) recordRejection(de place.Decision, at *place.Attempt, status int) {
-	cf := fw.request.gate.config
-	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
-		return
-	}
-	if at.RecordRejection(fw.request.now()) {
-		cf.Metrics.Counter("weir_brittle_rejections_total").Inc()
-		cf.Notifier.NotifyRejection(de.Endpoint.Process())
-	}
-}
-
-// stallTimeout returns how long an attempt waits for a response before the request is retried on another endpoint. It returns zero, which
-// means no such timeout, if the attempt is the last one allowed or the route is neither resumable nor idempotent.
-func (fw *forwarder) stallTimeout(de place.Decision) time.Duration {
-	pr := fw.request
-	if fw.attempts+1 >= pr.route.MaxAttempts {
-		return 0
-	}
-	switch pr.route.RetrySafety {
-	case plan.Resumable:
-		return max(minStallTimeout, firstEventTimeoutFactor*de.TimeToFirstEvent)
-	case plan.Idempotent:
-		return max(plainTimeoutFactor*pr.route.LatencyTarget, minTimeLeft)
-	default:
-		return 0
-	}
-}
--- a/internal/gate/response.go
+++ b/internal/gate/response.go
@@ -12,7 +12,6 @@
 	"github.com/clementineweir/clementineweir/internal/space"
 	"github.com/clementineweir/clementineweir/pkg/fault"
 	"github.com/clementineweir/clementineweir/pkg/place"
-	"github.com/clementineweir/clementineweir/pkg/plan"
 )
 
 const (
@@ -173,16 +172,6 @@
 	return place.Answered, nil
 }
 
-// eventTimeout returns the maximum gap between the events of a started stream. After a longer gap the attempt is canceled, and a resumable
-// stream continues on another endpoint. A stream that is not resumable may pause until its deadline.
-func (fw *forwarder) eventTimeout() time.Duration {
-	pr := fw.request
-	if pr.route.RetrySafety != plan.Resumable {
-		return pr.timeLeft() + writeGrace
-	}
-	return max(minStallTimeout, eventTimeoutFactor*pr.route.InterEventTarget)
-}
-
 // sendHeader sends the status and the headers of the endpoint's response to the caller. They are sent once, also if the stream later
 // resumes on another endpoint.
 func (fw *forwarder) sendHeader(ex *conns.Exchange) {
