Fair: one type for turns among the teams of a queue

pkg/turn and pkg/route both had the rule by which the requests of a team get rounds, with the same fields, the same reset of an empty queue and the same comment about teams that pause. The rule is now fair.Rounds, with a test of its own; the queues keep their lists and orders, which differ (priority up or rank down, callers that have come back, refusal of requests that would wait too long). The zero values of both queues are usable, so that newQueue, newLine and newPool go.

--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -57,8 +57,6 @@
 	queue queue
 }
 
-func newPool() *pool { return &pool{queue: newQueue()} }
-
 // pick returns the cheapest usable candidate, or nil.
 //
 // Endpoints on which the request failed are allowed again once it failed on all of them. If no candidate is usable and most
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/clementineweir/clementineweir/pkg/fair"
 )
 
 // maxQueued is the capacity of the queue of one model or service.
@@ -26,28 +28,18 @@
 	placed chan Choice
 }
 
-// queue orders requests by priority, then round-robin among teams, then by deadline. For the round-robin, each request of a team
-// gets the round after that of the team's previous request.
+// queue orders requests by priority, then by turns among teams, then by deadline.
 type queue struct {
-	list []*waiter
-	// rounds is the round of the last request queued by each team.
-	rounds map[string]int64
-	// minRound is R-1, where R is the latest round of all requests that have left the queue since it was last empty. A team
-	// that queued nothing for a while continues at round R or later. With a lower round, its requests would overtake those of all
-	// other teams.
-	minRound int64
+	list   []*waiter
+	rounds fair.Rounds
 }
 
-func newQueue() queue { return queue{rounds: map[string]int64{}} }
-
 // add queues a request in the next round of its team; it returns false if the queue is full.
 func (qe *queue) add(qu Query, qen QueueEntry) (*waiter, bool) {
 	if len(qe.list) >= maxQueued {
 		return nil, false
 	}
-	round := max(qe.rounds[qen.Team], qe.minRound) + 1
-	qe.rounds[qen.Team] = round
-	wt := &waiter{QueueEntry: qen, query: qu, round: round, placed: make(chan Choice, 1)}
+	wt := &waiter{QueueEntry: qen, query: qu, round: qe.rounds.Add(qen.Team), placed: make(chan Choice, 1)}
 	ix, _ := slices.BinarySearchFunc(qe.list, wt, compareWaiters)
 	qe.list = slices.Insert(qe.list, ix, wt)
 	return wt, true
@@ -67,11 +59,7 @@
 		return
 	}
 	qe.list = slices.Delete(qe.list, ix, ix+1)
-	qe.minRound = max(qe.minRound, wt.round-1)
-	if len(qe.list) == 0 {
-		clear(qe.rounds)
-		qe.minRound = 0
-	}
+	qe.rounds.Leave(wt.round, len(qe.list) == 0)
 }
 
 // blocks reports whether a new request must be queued because one of the same or a higher priority is already queued.
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -107,7 +107,7 @@
 func addTo(pools map[string]*pool, name string, ca *candidate) {
 	po, ok := pools[name]
 	if !ok {
-		po = newPool()
+		po = &pool{}
 		pools[name] = po
 	}
 	po.list = append(po.list, ca)
--- a/pkg/turn/lane.go
+++ b/pkg/turn/lane.go
@@ -38,7 +38,7 @@
 }
 
 func newLane(now time.Duration) *lane {
-	return &lane{completions: counter{since: now}, claims: map[string]*claim{}, refusedAt: now, line: newLine()}
+	return &lane{completions: counter{since: now}, claims: map[string]*claim{}, refusedAt: now}
 }
 
 // reserve takes one request's worth of capacity from the first slot with room on, and returns the time at which the caller comes back. It returns false if no
--- a/pkg/turn/line.go
+++ b/pkg/turn/line.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/clementineweir/clementineweir/pkg/fair"
 )
 
 const (
@@ -41,30 +43,24 @@
 // Room receives a value when an endpoint may have room for the request. The value is for Pass if it has none.
 func (pl *Place) Room() <-chan int { return pl.room }
 
-// line holds the requests that wait for a service. They are ordered by rank, then those that have come back, then by turns among teams, then by deadline. For the
-// turns, each request of a team gets the round after that of the team's previous request.
+// line holds the requests that wait for a service. They are ordered by rank, then those that have come back, then by turns among teams, then by deadline.
 type line struct {
 	list   []*Place
-	rounds map[string]int64
-	// minRound is the latest round of those that have left since the line was last empty, less one. A team that did not wait for a while continues there, since
-	// its requests would otherwise go before those of all other teams.
-	minRound int64
+	rounds fair.Rounds
 }
 
-func newLine() line { return line{rounds: map[string]int64{}} }
-
 // Wait adds a request to those that wait for room at an endpoint of its service. It returns nil if the completions of this instance make no room in time.
 func (sc *Schedule) Wait(now time.Duration, wt Waiter) *Place {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	la := sc.lane(now, laneKey{service: wt.Service})
 	li := &la.line
-	pl := &Place{waiter: wt, line: li, round: max(li.rounds[wt.Team], li.minRound) + 1, room: make(chan int, 1)}
+	pl := &Place{waiter: wt, line: li, round: li.rounds.Next(wt.Team), room: make(chan int, 1)}
 	ix, _ := slices.BinarySearchFunc(li.list, pl, comparePlaces)
 	if len(li.list) >= maxWaiting || float64(ix+1)/la.completions.rate(now) > wt.MaxWait.Seconds() {
 		return nil
 	}
-	li.rounds[wt.Team] = pl.round
+	li.rounds.Add(wt.Team)
 	li.list = slices.Insert(li.list, ix, pl)
 	return pl
 }
@@ -97,12 +93,7 @@
 		return
 	}
 	li.list = slices.Delete(li.list, ix, ix+1)
-	li.minRound = max(li.minRound, pl.round-1)
-	if len(li.list) == 0 {
-		clear(li.rounds)
-		li.minRound = 0
-		return
-	}
+	li.rounds.Leave(pl.round, len(li.list) == 0)
 	select {
 	case passes := <-pl.room:
 		if ix < len(li.list) {
