Turn: name the queue as such, and explain what stops a reader

The package had a lane with a line in it; "soonest" was a delay in one function and a time in the next, and "late" the delay of a caller without a slot. line.go becomes queue.go, and its type queue; Refuse has shortest and withoutSlot, reserve has earliest, and perSecond for what it called capacity. Exported names stay.

--- a/pkg/turn/lane.go
+++ b/pkg/turn/lane.go
@@ -13,7 +13,7 @@
 	minRateTime = 500 * time.Millisecond
 	// minRate is the assumed minimum of completions a second. An instance that has just started, or has few requests of its own, sends its callers to others.
 	minRate = 4
-	// claimTime is the time for which a refused team counts among those that share the schedule.
+	// claimTime is the time after its last refusal for which a team counts among those that share a lane.
 	claimTime = 2 * time.Second
 )
 
@@ -26,11 +26,11 @@
 	claims map[string]*claim
 	// refusedAt is the time of the last refusal, or of the creation of the lane.
 	refusedAt time.Duration
-	// line holds the requests that wait here instead of coming back; it is used in lanes without a team.
-	line line
+	// queue holds the requests that wait here instead of coming back; it is used in lanes without a team.
+	queue queue
 }
 
-// claim is a team's part of a lane.
+// claim holds the slots of a team in a lane.
 type claim struct {
 	refusedAt time.Duration
 	// dues are the times of the team's slots, in the order of the refusals.
@@ -41,32 +41,34 @@
 	return &lane{completions: counter{since: now}, claims: map[string]*claim{}, refusedAt: now}
 }
 
-// reserve takes one request's worth of capacity from the first slot with room on, and returns the time at which the caller comes back. It returns false if no
-// slot before the time latest has room.
-func (la *lane) reserve(now, soonest, latest time.Duration, ca Caller) (time.Duration, bool) {
+// reserve takes one request's worth of capacity from the first slot with room on, and returns the time at which the caller comes back, from earliest to latest.
+// It returns false if no slot before the time latest has room.
+func (la *lane) reserve(now, earliest, latest time.Duration, ca Caller) (time.Duration, bool) {
 	la.refusedAt = now
-	capacity := la.completions.rate(now) * returnShare * rankShares[min(max(0, ca.Rank), len(rankShares)-1)]
+	// perSecond is the number of requests a second for which this caller may reserve slots, and room that of one slot.
+	perSecond := la.completions.rate(now) * returnShare * rankShares[min(max(0, ca.Rank), len(rankShares)-1)]
 	cl, teams := la.claim(now, ca.Team)
 	// The fair share is that of one team more than are known, so that a further one finds room.
-	if fair := capacity * (latest - now).Seconds() / float64(teams+1); len(cl.dues) > 0 && float64(len(cl.dues)) >= fair {
-		capacity *= overShare
+	if fair := perSecond * (latest - now).Seconds() / float64(teams+1); len(cl.dues) > 0 && float64(len(cl.dues)) >= fair {
+		perSecond *= overShare
 	}
 	latest = min(latest, now+maxDelay)
-	room := capacity * slotWidth.Seconds()
-	for slot := slotOf(soonest); slot <= slotOf(latest); slot++ {
+	room := perSecond * slotWidth.Seconds()
+	for slot := slotOf(earliest); slot <= slotOf(latest); slot++ {
 		if *la.used.at(slot) >= room {
 			continue
 		}
 		la.fill(slot, slotOf(now)+slotCount, room)
 		due := time.Duration(slot)*slotWidth + time.Duration(fraction(ca.Content)*float64(slotWidth))
-		due = min(latest, max(soonest, due))
+		due = min(latest, max(earliest, due))
 		cl.dues = append(cl.dues, due)
 		return due, true
 	}
 	return 0, false
 }
 
-// fill takes one request's worth of capacity from the slots from first to end.
+// fill takes one request's worth of capacity from the slots from first to end. Where few requests complete, a slot has room for
+// less than one, so that a return takes several slots.
 func (la *lane) fill(first, end int64, room float64) {
 	for need, slot := 1.0, first; need > 0 && slot < end; slot++ {
 		used := la.used.at(slot)
--- a/pkg/turn/line.go
+++ b/pkg/turn/queue.go
@@ -31,10 +31,10 @@
 	MaxWait time.Duration
 }
 
-// Place is the place of a request among those that wait for a service.
+// Place is the place of a request in the queue of a service.
 type Place struct {
 	waiter Waiter
-	line   *line
+	queue  *queue
 	round  int64
 	// room receives the number of requests that have tried before to take the room.
 	room chan int
@@ -43,25 +43,26 @@
 // Room receives a value when an endpoint may have room for the request. The value is for Pass if it has none.
 func (pl *Place) Room() <-chan int { return pl.room }
 
-// line holds the requests that wait for a service. They are ordered by rank, then those that have come back, then by turns among teams, then by deadline.
-type line struct {
+// queue holds the requests that wait for a service. They are ordered by rank, then those that have come back, then by turns among teams, then by deadline.
+type queue struct {
 	list   []*Place
 	rounds fair.Rounds
 }
 
-// Wait adds a request to those that wait for room at an endpoint of its service. It returns nil if the completions of this instance make no room in time.
+// Wait adds a request to those that wait for room at an endpoint of its service; the caller of Wait calls Leave in the end. It returns nil if the request, and
+// those before it, take more completions than this instance is expected to have within MaxWait.
 func (sc *Schedule) Wait(now time.Duration, wt Waiter) *Place {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	la := sc.lane(now, laneKey{service: wt.Service})
-	li := &la.line
-	pl := &Place{waiter: wt, line: li, round: li.rounds.Next(wt.Team), room: make(chan int, 1)}
-	ix, _ := slices.BinarySearchFunc(li.list, pl, comparePlaces)
-	if len(li.list) >= maxWaiting || float64(ix+1)/la.completions.rate(now) > wt.MaxWait.Seconds() {
+	qe := &la.queue
+	pl := &Place{waiter: wt, queue: qe, round: qe.rounds.Next(wt.Team), room: make(chan int, 1)}
+	ix, _ := slices.BinarySearchFunc(qe.list, pl, comparePlaces)
+	if len(qe.list) >= maxWaiting || float64(ix+1)/la.completions.rate(now) > wt.MaxWait.Seconds() {
 		return nil
 	}
-	li.rounds.Add(wt.Team)
-	li.list = slices.Insert(li.list, ix, pl)
+	qe.rounds.Add(wt.Team)
+	qe.list = slices.Insert(qe.list, ix, pl)
 	return pl
 }
 
@@ -69,8 +70,8 @@
 func (sc *Schedule) MakeRoom(service string) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	if la, ok := sc.lanes[laneKey{service: service}]; ok && len(la.line.list) > 0 {
-		la.line.list[0].offer(0)
+	if la, ok := sc.lanes[laneKey{service: service}]; ok && len(la.queue.list) > 0 {
+		la.queue.list[0].offer(0)
 	}
 }
 
@@ -78,8 +79,8 @@
 func (sc *Schedule) Pass(pl *Place, passes int) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	if ix := slices.Index(pl.line.list, pl) + 1; ix > 0 && ix < len(pl.line.list) && passes+1 < maxPasses {
-		pl.line.list[ix].offer(passes + 1)
+	if ix := slices.Index(pl.queue.list, pl) + 1; ix > 0 && ix < len(pl.queue.list) && passes+1 < maxPasses {
+		pl.queue.list[ix].offer(passes + 1)
 	}
 }
 
@@ -87,17 +88,17 @@
 func (sc *Schedule) Leave(pl *Place) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	li := pl.line
-	ix := slices.Index(li.list, pl)
+	qe := pl.queue
+	ix := slices.Index(qe.list, pl)
 	if ix < 0 {
 		return
 	}
-	li.list = slices.Delete(li.list, ix, ix+1)
-	li.rounds.Leave(pl.round, len(li.list) == 0)
+	qe.list = slices.Delete(qe.list, ix, ix+1)
+	qe.rounds.Leave(pl.round, len(qe.list) == 0)
 	select {
 	case passes := <-pl.room:
-		if ix < len(li.list) {
-			li.list[ix].offer(passes)
+		if ix < len(qe.list) {
+			qe.list[ix].offer(passes)
 		}
 	default:
 	}
--- a/pkg/turn/schedule.go
+++ b/pkg/turn/schedule.go
@@ -96,22 +96,24 @@
 	defer sc.mu.Unlock()
 	longest := time.Duration(honoredShare * float64(max(0, ca.TimeLeft)))
 	spread := time.Duration(lateSpread * float64(longest))
-	soonest := max(min(minDelay, longest), min(ca.Soonest, longest-spread))
-	late := max(soonest, longest-time.Duration(fraction(ca.Content)*float64(spread)))
+	shortest := max(min(minDelay, longest), min(ca.Soonest, longest-spread))
+	// withoutSlot is the delay of a caller for which no slot is reserved.
+	withoutSlot := max(shortest, longest-time.Duration(fraction(ca.Content)*float64(spread)))
 	if ca.Returned {
-		return Slot{Delay: late}
+		return Slot{Delay: withoutSlot}
 	}
 	dues := sc.returns.of(now, ca.Content)
 	if len(dues) >= maxRepeats {
-		return Slot{Delay: min(longest, max(soonest, dues[0]-now))}
+		// One of these slots is probably that of this caller: it is told the first of them.
+		return Slot{Delay: min(longest, max(shortest, dues[0]-now))}
 	}
 	key := laneKey{service: ca.Service}
 	if ca.Tokens {
 		key.team = ca.Team
 	}
-	due, ok := sc.lane(now, key).reserve(now, now+soonest, now+longest, ca)
+	due, ok := sc.lane(now, key).reserve(now, now+shortest, now+longest, ca)
 	if !ok || !sc.returns.add(now, ca.Content, due) {
-		return Slot{Delay: late}
+		return Slot{Delay: withoutSlot}
 	}
 	sc.count.Store(int64(len(sc.returns.dues)))
 	return Slot{Delay: due - now, Reserved: true}
