Spill: files of their own for the configuration and the costs

spill.go had 315 lines: the state, the configuration, what leaving costs a request, and all constants, also those of step.go. Pure moves: config.go holds the configuration, cost.go what leaving costs a request and why it left; constants are in the file that uses them.

--- a/pkg/spill/spill.go
+++ b/pkg/spill/spill.go
@@ -8,68 +8,11 @@
 const (
 	// observeInterval is the minimum time between two observations of a service. The loads that endpoints report change little faster.
 	observeInterval = 100 * time.Millisecond
-	// stepInterval is the mean time between two steps of the shares. The effect of a step is seen after the first events of the requests that it moved, which
-	// take some hundred milliseconds under load.
-	stepInterval = 250 * time.Millisecond
-	// maxIdle is the time without an observation after which the shares are void.
-	maxIdle = 5 * time.Second
-	// maxStep bounds the change of a share in one step; without gain, a share falls by at least fallStep.
-	maxStep, fallStep = 0.1, 0.02
-	// shareOfGain is the change of a share for a change of the gain by a second. Queues grow as long as too many requests come, and loads are known some 0.4 s
-	// late: a share that follows the gain at more than twice this rate swings.
-	shareOfGain = 0.5
-	// gainTime is the time in which a constant gain changes a share by as much as it did when it appeared.
-	gainTime = 2 * time.Second
-	// probeShare bounds the share of a domain whose load is unknown. The responses to these requests bring its load.
-	probeShare = 0.1
-	// waitShare is the part of the wait in the own domain that another one must be better by, if that is more than the surcharge. With long queues, the
-	// waits at the endpoints of one domain differ by about as much.
-	waitShare = 0.25
-	// timeLeftShare bounds the surcharge by the time left, which is about four times the latency target: a request does not become late because it stays.
-	timeLeftShare = 0.05
-	// heldShare is the part of the time left that requests outside the share wait longer under pressure: half of the latency target. Without a deadline, they
-	// wait gainFactor times the gain.
-	heldShare, gainFactor = 0.125, 2
-	// riseAt and fallAt are the gains, as parts of the surcharge, from which a share rises and below which it falls.
-	riseAt, fallAt = 0.5, 0.125
 	// refusalHalfLife is the half-life of a refusal, and maxRefusals bounds their count. A share does not rise above minRefusals.
 	refusalHalfLife          = time.Second
 	maxRefusals, minRefusals = 8, 0.25
-	// waitWeight is the weight of the newest wait in its average.
-	waitWeight = 0.4
-	// bytesWeight is the weight of the newest request in the average number of bytes.
-	bytesWeight = 0.05
-	// changeStep is the change of a share that is reported.
-	changeStep = 0.1
-	// phaseStep is the difference between the phases of the draws for two domains.
-	phaseStep = 0.5
-	// maxDomains bounds the failure domains of a service for which there are shares; the others count as unknown.
-	maxDomains = 16
 )
 
-// Config says what leaving a failure domain costs.
-type Config struct {
-	// RoundTrip is the time of a round trip to another failure domain.
-	RoundTrip time.Duration
-	// BytePrice is the latency that sending one megabyte to another failure domain is worth.
-	BytePrice time.Duration
-	// Surcharge is added while the own domain is not under pressure; zero means that leaving always costs the round trip and the bytes.
-	Surcharge time.Duration
-	// Seed differs between instances, so that they do not change their shares together.
-	Seed uint64
-}
-
-// DefaultConfig returns the usual configuration.
-func DefaultConfig() Config {
-	return Config{
-		RoundTrip: 2 * time.Millisecond,
-		// A prompt of 12,000 tokens costs 3 ms, with the round trip 5 ms.
-		BytePrice: 60 * time.Millisecond,
-		// A fifth of the shortest latency target (120 ms): no request misses its target because it stays.
-		Surcharge: 24 * time.Millisecond,
-	}
-}
-
 // Load is the load of the endpoints of a service in one failure domain.
 type Load struct {
 	// Domain is the name of the failure domain.
@@ -84,23 +27,6 @@
 	StaleWait time.Duration
 }
 
-// Request holds the properties of a request that decide what leaving costs.
-type Request struct {
-	// Bytes is the number of bytes that are sent.
-	Bytes int64
-	// TimeLeft is the time until the deadline, zero if there is none.
-	TimeLeft time.Duration
-	// Holder reports whether the endpoint is assumed to have a long shared prefix of the request cached. Prefilling it once more in each domain costs more than
-	// the transfer.
-	Holder bool
-	// Late reports whether the request would be refused if it stayed in its domain.
-	Late bool
-	// Stale reports whether the load of the endpoint is unknown.
-	Stale bool
-	// Draw is the result of Spill.Draw for the request.
-	Draw float64
-}
-
 // Change is a change of the share of requests that may leave; the zero value means none.
 type Change struct {
 	// Before and After are the shares, the largest over all domains.
@@ -170,57 +96,6 @@
 	return !ok || !sv.observed || now-sv.observedAt >= observeInterval
 }
 
-// Cost returns the time that is added to the cost of an endpoint in the domain to for a request of an instance in the domain from.
-func (sp *Spill) Cost(now time.Duration, name, from, to string, rq Request) time.Duration {
-	if from == to {
-		return 0
-	}
-	cost := sp.config.RoundTrip
-	sv, ok := sp.services[name]
-	if !ok || !sv.observed {
-		return cost + sp.price(rq.Bytes) + sp.surcharge(0, rq)
-	}
-	do := sv.domain(to)
-	if do != nil && do.refusals > 0 {
-		cost += time.Duration(do.recentRefusals(now) * float64(sp.surcharge(sv.own.Wait, rq)))
-	}
-	if sv.own.Usable == 0 {
-		return cost
-	}
-	cost += sp.price(rq.Bytes)
-	if rq.Holder || sp.config.Surcharge == 0 || (do != nil && rq.leaves(do)) {
-		return cost
-	}
-	if rq.Late && do != nil && do.pressure {
-		if rq.Stale {
-			cost += sv.staleCost(do)
-		}
-		return cost
-	}
-	return cost + sp.heldCost(sv, do, rq)
-}
-
-// Reason says why a request left the domain for an endpoint in another one.
-func (sp *Spill) Reason(name, to string, rq Request) string {
-	sv, ok := sp.services[name]
-	if !ok {
-		return "less busy"
-	}
-	do := sv.domain(to)
-	switch {
-	case sv.observed && sv.own.Usable == 0:
-		return "no usable endpoint in the domain"
-	case rq.Holder:
-		return "cached prefix"
-	case rq.Late && do != nil && do.pressure:
-		return "late in the domain"
-	case do != nil && rq.leaves(do):
-		return "pressure"
-	default:
-		return "less busy"
-	}
-}
-
 // Refused records that an endpoint in another domain has refused a request of this instance.
 func (sp *Spill) Refused(now time.Duration, name, to string) {
 	sv, ok := sp.services[name]
@@ -234,61 +109,6 @@
 	}
 }
 
-// price returns the price of a number of bytes.
-func (sp *Spill) price(bytes int64) time.Duration {
-	return time.Duration(float64(bytes) / 1e6 * float64(sp.config.BytePrice))
-}
-
-// surcharge returns the cost of leaving without need, at the given wait in the own domain.
-func (sp *Spill) surcharge(wait time.Duration, rq Request) time.Duration {
-	if sp.config.Surcharge == 0 {
-		return 0
-	}
-	charge := max(sp.config.Surcharge, time.Duration(waitShare*float64(wait)))
-	if rq.TimeLeft > 0 {
-		charge = min(charge, time.Duration(timeLeftShare*float64(rq.TimeLeft)))
-	}
-	return charge
-}
-
-// heldCost returns what leaving costs a request that should stay, beyond the round trip and the bytes. Under pressure, only the
-// share leaves, and those that would else become late: otherwise all requests of all instances would leave as soon as the gain is larger than the surcharge, and
-// return together.
-func (sp *Spill) heldCost(sv *service, do *domain, rq Request) time.Duration {
-	cost := sp.surcharge(sv.own.Wait, rq)
-	if do == nil {
-		return cost
-	}
-	held := cost
-	if do.pressure && rq.TimeLeft > 0 {
-		held = max(held, time.Duration(heldShare*float64(rq.TimeLeft)))
-	} else if do.pressure {
-		held += gainFactor * max(0, do.gain)
-	}
-	if rq.Stale {
-		held = max(held, cost+sv.staleCost(do))
-	}
-	return held
-}
-
-// leaves reports whether the request is one of the share that may leave to the domain. With small shares, those of different domains are different requests.
-func (rq *Request) leaves(do *domain) bool {
-	_, draw := math.Modf(rq.Draw + do.phase)
-	return draw < do.share
-}
-
-// staleCost returns what is added to the expected time at an endpoint of unknown load: it counts as busy as the known ones of its domain, or else as the own
-// domain.
-func (sv *service) staleCost(do *domain) time.Duration {
-	if do == nil {
-		return 0
-	}
-	if do.load.Known {
-		return max(0, do.load.Wait-do.load.StaleWait)
-	}
-	return max(0, sv.own.Wait-do.load.StaleWait)
-}
-
 func (sp *Spill) service(name string) *service {
 	sv, ok := sp.services[name]
 	if !ok {
--- a/pkg/spill/step.go
+++ b/pkg/spill/step.go
@@ -5,6 +5,35 @@
 	"time"
 )
 
+const (
+	// stepInterval is the mean time between two steps of the shares. The effect of a step is seen after the first events of the requests that it moved, which
+	// take some hundred milliseconds under load.
+	stepInterval = 250 * time.Millisecond
+	// maxIdle is the time without an observation after which the shares are void.
+	maxIdle = 5 * time.Second
+	// maxStep bounds the change of a share in one step; without gain, a share falls by at least fallStep.
+	maxStep, fallStep = 0.1, 0.02
+	// shareOfGain is the change of a share for a change of the gain by a second. Queues grow as long as too many requests come, and loads are known some 0.4 s
+	// late: a share that follows the gain at more than twice this rate swings.
+	shareOfGain = 0.5
+	// gainTime is the time in which a constant gain changes a share by as much as it did when it appeared.
+	gainTime = 2 * time.Second
+	// probeShare bounds the share of a domain whose load is unknown. The responses to these requests bring its load.
+	probeShare = 0.1
+	// riseAt and fallAt are the gains, as parts of the surcharge, from which a share rises and below which it falls.
+	riseAt, fallAt = 0.5, 0.125
+	// waitWeight is the weight of the newest wait in its average.
+	waitWeight = 0.4
+	// bytesWeight is the weight of the newest request in the average number of bytes.
+	bytesWeight = 0.05
+	// changeStep is the change of a share that is reported.
+	changeStep = 0.1
+	// phaseStep is the difference between the phases of the draws for two domains.
+	phaseStep = 0.5
+	// maxDomains bounds the failure domains of a service for which there are shares; the others count as unknown.
+	maxDomains = 16
+)
+
 // Observe records the loads of all failure domains of a service, as an instance in the domain from knows them; bytes is the size of a present request. It
 // returns a change of the shares.
 func (sp *Spill) Observe(now time.Duration, name, from string, loads []Load, bytes int64) Change {
@@ -120,23 +149,6 @@
 	return share
 }
 
-// meanSurcharge returns the mean surcharge of requests that leave to the domain with the largest share.
-func (sp *Spill) meanSurcharge(sv *service) time.Duration {
-	if sv.own.Usable == 0 {
-		return 0
-	}
-	return time.Duration((1 - sv.share()) * float64(sp.surcharge(sv.own.Wait, Request{})))
-}
-
-// Surcharge returns what leaving costs beyond the round trip and the bytes, averaged over requests with much time left.
-func (sp *Spill) Surcharge(name string) time.Duration {
-	sv, ok := sp.services[name]
-	if !ok || !sv.observed {
-		return sp.config.Surcharge
-	}
-	return sp.meanSurcharge(sv)
-}
-
 // fraction returns a random number from 0 to 1, by xorshift.
 func (sp *Spill) fraction() float64 {
 	sp.random ^= sp.random << 13
