Edge: tests take the name of the deadline header from the stand-ins

Three tests of internal/edge wrote the platform's name of the deadline header themselves; they use stand.HeaderDeadline now, as the other tests do.

--- a/internal/edge/brittle_test.go
+++ b/internal/edge/brittle_test.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/clementineweir/clementineweir/platform/stand"
 )
 
 // TestBrittleEndpointsFallOver sends twice the requests that four brittle endpoints can serve, through four instances. The endpoints may fall over
@@ -36,7 +38,7 @@
 			for ix := 0; time.Since(begun) < length; ix++ {
 				got := fl.send(fl.instances[caller%instances], request{
 					id: fmt.Sprintf("request-%d-%d", caller, ix), route: "stream", key: testKey, prompt: 20, output: testEvents * testStride,
-					parts: []string{"aa", fmt.Sprintf("%x", caller*100_000+ix)}, header: map[string]string{"Deadline-Ms": patienceMillis},
+					parts: []string{"aa", fmt.Sprintf("%x", caller*100_000+ix)}, header: map[string]string{stand.HeaderDeadline: patienceMillis},
 				})
 				switch {
 				case time.Since(begun) < settleTime:
--- a/internal/edge/isolated_test.go
+++ b/internal/edge/isolated_test.go
@@ -104,7 +104,7 @@
 			for ix := worker; ix < count; ix += 4 {
 				rq := request{
 					id: fmt.Sprint(name, "-", ix), route: []string{"resume", "safe", "stream", "unsafe"}[ix/4%4], key: testKey,
-					body: "the body", header: map[string]string{"Deadline-Ms": patienceMillis}, parts: []string{"aa", fmt.Sprintf("%x", ix)},
+					body: "the body", header: map[string]string{stand.HeaderDeadline: patienceMillis}, parts: []string{"aa", fmt.Sprintf("%x", ix)},
 				}
 				if rq.route == "resume" || rq.route == "stream" {
 					rq.prompt, rq.output = 100, testEvents*testStride
@@ -186,7 +186,7 @@
 	const count, atOnce = 16, 700 * time.Millisecond
 	for ix := range count {
 		at := time.Now()
-		got := lf.send(lf.instances[0], request{id: fmt.Sprint("late-", ix), route: []string{"safe", "unsafe"}[ix%2], key: testKey, header: map[string]string{"Deadline-Ms": patienceMillis}})
+		got := lf.send(lf.instances[0], request{id: fmt.Sprint("late-", ix), route: []string{"safe", "unsafe"}[ix%2], key: testKey, header: map[string]string{stand.HeaderDeadline: patienceMillis}})
 		if took := time.Since(at); got.Status != http.StatusServiceUnavailable || got.RetryAfter == "" || took > atOnce {
 			tt.Errorf("got the status %d with Retry-After %q after %s, want 503 with one within %s", got.Status, got.RetryAfter, took, atOnce)
 		}
