Spill: explain shares, gains and pressure; one constant a line

The package comment did not say how the share, the gain, the pressure and the surcharge are related, and pairs of constants of different meaning shared one line and one comment. Each has its own now, with the formula that it is part of. A check for a nil domain in staleCost goes, since both callers have checked it.

--- a/pkg/spill/cost.go
+++ b/pkg/spill/cost.go
@@ -6,14 +6,15 @@
 )
 
 const (
-	// waitShare is the part of the wait in the own domain that another one must be better by, if that is more than the surcharge. With long queues, the
-	// waits at the endpoints of one domain differ by about as much.
+	// waitShare gives the least surcharge: waitShare * the wait in the own domain. With long queues, the waits at the endpoints of one domain differ by about as
+	// much.
 	waitShare = 0.25
-	// timeLeftShare bounds the surcharge by the time left, which is about four times the latency target: a request does not become late because it stays.
+	// timeLeftShare gives the greatest surcharge: timeLeftShare * the time left, a fifth of the latency target. A request does not become late because it stays.
 	timeLeftShare = 0.05
-	// heldShare is the part of the time left that requests outside the share wait longer under pressure: half of the latency target. Without a deadline, they
-	// wait gainFactor times the gain.
-	heldShare, gainFactor = 0.125, 2
+	// heldShare gives the cost that keeps requests outside the share in their domain under pressure: heldShare * the time left, half of the latency target.
+	heldShare = 0.125
+	// gainFactor gives that cost for requests without a deadline: the surcharge + gainFactor * the gain.
+	gainFactor = 2
 )
 
 // Request holds the properties of a request that decide what leaving costs.
@@ -33,7 +34,8 @@
 	Draw float64
 }
 
-// Cost returns the time that is added to the cost of an endpoint in the domain to for a request of an instance in the domain from.
+// Cost returns the time that is added to the cost of an endpoint in the domain to for a request of an instance in the domain from. If that has no usable endpoint,
+// only the round trip and recent refusals count.
 func (sp *Spill) Cost(now time.Duration, name, from, to string, rq Request) time.Duration {
 	if from == to {
 		return 0
@@ -63,9 +65,9 @@
 	return cost + sp.heldCost(sv, do, rq)
 }
 
-// heldCost returns what leaving costs a request that should stay, beyond the round trip and the bytes. Under pressure, only the
-// share leaves, and those that would else become late: otherwise all requests of all instances would leave as soon as the gain is larger than the surcharge, and
-// return together.
+// heldCost returns what leaving costs a request that should stay, beyond the round trip and the bytes; the domain is nil if nothing is known of it. Under
+// pressure, it is more than the surcharge, so that only the share leaves, and requests that would otherwise become late. With the surcharge alone, all requests of
+// all instances would leave as soon as the gain is larger, and return together.
 func (sp *Spill) heldCost(sv *service, do *domain, rq Request) time.Duration {
 	cost := sp.surcharge(sv.own.Wait, rq)
 	if do == nil {
@@ -103,9 +105,6 @@
 // staleCost returns what is added to the expected time at an endpoint of unknown load: it counts as busy as the known ones of its domain, or else as the own
 // domain.
 func (sv *service) staleCost(do *domain) time.Duration {
-	if do == nil {
-		return 0
-	}
 	if do.load.Known {
 		return max(0, do.load.Wait-do.load.StaleWait)
 	}
--- a/pkg/spill/spill.go
+++ b/pkg/spill/spill.go
@@ -8,9 +8,11 @@
 const (
 	// observeInterval is the minimum time between two observations of a service. The loads that endpoints report change little faster.
 	observeInterval = 100 * time.Millisecond
-	// refusalHalfLife is the half-life of a refusal, and maxRefusals bounds their count. A share does not rise above minRefusals.
-	refusalHalfLife          = time.Second
-	maxRefusals, minRefusals = 8, 0.25
+	// refusalHalfLife is the half-life of the count of refusals, and maxRefusals its maximum.
+	refusalHalfLife = time.Second
+	maxRefusals     = 8
+	// minRefusals is the count of refusals above which a share does not rise.
+	minRefusals = 0.25
 )
 
 // Load is the load of the endpoints of a service in one failure domain.
@@ -64,13 +66,13 @@
 // domain is another failure domain.
 type domain struct {
 	load Load
-	// phase is added to the draws for the domain.
+	// phase is added to the draws for the domain; it differs from that of the next domain, so that they are not sent the same requests.
 	phase float64
 	// share is the share of requests that may leave to the domain without a surcharge.
 	share float64
 	// gain is the time that a request gains by leaving to the domain, and gainBefore the gain at the last step.
 	gain, gainBefore time.Duration
-	// pressure reports whether a share leaves to the domain, or should.
+	// pressure reports whether a share leaves to the domain, or should: the gain is large enough.
 	pressure bool
 	// refusals counts the recent refusals at the time refusedAt.
 	refusals  float64
@@ -82,7 +84,7 @@
 	return &Spill{config: cf, random: cf.Seed*0x9e3779b97f4a7c15 | 1, services: map[string]*service{}}
 }
 
-// Draw returns a number from 0 to 1 for a request. The numbers of consecutive requests are spread evenly.
+// Draw returns a number from 0 to 1 for a request: the fraction of a multiple of the golden ratio, so that consecutive numbers are spread evenly.
 func (sp *Spill) Draw(name string) float64 {
 	sv := sp.service(name)
 	sv.drawn++
--- a/pkg/spill/step.go
+++ b/pkg/spill/step.go
@@ -11,8 +11,10 @@
 	stepInterval = 250 * time.Millisecond
 	// maxIdle is the time without an observation after which the shares are void.
 	maxIdle = 5 * time.Second
-	// maxStep bounds the change of a share in one step; without gain, a share falls by at least fallStep.
-	maxStep, fallStep = 0.1, 0.02
+	// maxStep bounds the change of a share in one step.
+	maxStep = 0.1
+	// fallStep is the minimum by which a share falls in one step without a gain.
+	fallStep = 0.02
 	// shareOfGain is the change of a share for a change of the gain by a second. Queues grow as long as too many requests come, and loads are known some 0.4 s
 	// late: a share that follows the gain at more than twice this rate swings.
 	shareOfGain = 0.5
