Turn: the bound on tries of the same room has the name of what it counts

maxPasses was the number of requests that try the room, one more than the passes among them; it is maxTries now.

go test -count=1 ./pkg/turn passes.

--- a/pkg/turn/queue.go
+++ b/pkg/turn/queue.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// maxPasses bounds the requests that try to take the same room one after the other: the first ones may need more of it than others.
-	maxPasses = 4
+	// maxTries bounds the requests that try to take the same room one after the other: the first ones may need more of it than others.
+	maxTries = 4
 	// maxWaiting bounds the requests that wait for one service.
 	maxWaiting = 1024
 )
@@ -79,7 +79,7 @@
 func (sc *Schedule) Pass(pl *Place, passes int) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	if ix := slices.Index(pl.queue.list, pl) + 1; ix > 0 && ix < len(pl.queue.list) && passes+1 < maxPasses {
+	if ix := slices.Index(pl.queue.list, pl) + 1; ix > 0 && ix < len(pl.queue.list) && passes+1 < maxTries {
 		pl.queue.list[ix].offer(passes + 1)
 	}
 }
--- a/pkg/turn/queue_test.go
+++ b/pkg/turn/queue_test.go
@@ -46,7 +46,7 @@
 func TestRoomTooSmallForFirst(tt *testing.T) {
 	sc := New()
 	var places []*Place
-	for range maxPasses + 2 {
+	for range maxTries + 2 {
 		places = append(places, sc.Wait(0, Waiter{Service: testService, MaxWait: time.Minute}))
 	}
 	sc.MakeRoom(testService)
@@ -59,7 +59,7 @@
 		default:
 		}
 	}
-	if diff := cmp.Diff(maxPasses, got); diff != "" {
+	if diff := cmp.Diff(maxTries, got); diff != "" {
 		tt.Error(diff)
 	}
 	sc.MakeRoom(testService)
