shed: refuse requests while the incoming direction of the link is full

Cause: the shedder knew the processor, the outgoing direction of the link and blocked writes. On a small instance (10 Mbit/s) that gets several times the usual requests, the incoming direction is full: requests and first events wait in front of the link. The balancer counted this delay against endpoints, learned prefill rates of 11 to 36 tokens per ms instead of 82, and refused with "no endpoint is expected to answer in time".

Change: the connections of callers, endpoints and peers count what is read (internal/edge/reads.go; only with instance.linkMegabits), also bodies of refused requests. pkg/shed takes the direction to be full when 0.9 of the rate was used over some 400 ms. The queue in front of the link cannot be summed up from bytes that have been read; it is assumed to grow by a sixth of the time. The new reason is "incoming". While callers and peers fill the direction by themselves, refusals do not empty it, and the level is bounded by 0.75. Delay, and so SetLag, is 100 ms at least as soon as the rate has been used for 80 ms, so that the balancer drops what it measures. Elsewhere sends refused callers to other instances at once. New: the field "incoming" of "shedding begins", and the gauge weir_link_incoming_used. conns.idleAlive asks for syscall.Conn, since the connection may be wrapped.

--- a/internal/config/edge.go
+++ b/internal/config/edge.go
@@ -31,7 +31,7 @@
 	MemoryMegabytes int64
 	// CPUCores is the processor time that the process may use, in cores; zero means that it is not known.
 	CPUCores float64
-	// LinkMegabits is the rate of the machine's link in megabits a second; zero means that it is not known.
+	// LinkMegabits is the rate of the machine's link in megabits a second, in each direction; zero means that it is not known.
 	LinkMegabits float64
 }
 
--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -52,7 +53,7 @@
 
 // idleAlive reports whether the idle connection is open and has no unexpected data waiting to be read.
 func (co *conn) idleAlive() bool {
-	tc, ok := co.net.(*net.TCPConn)
+	tc, ok := co.net.(syscall.Conn)
 	if !ok || co.reader.Buffered() > 0 {
 		return false
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -131,6 +131,8 @@
 	// space bounds the memory of buffered bodies.
 	space    *space.Space
 	overload *overload
+	// reads counts what is read from the link, if its rate is known.
+	reads readCounter
 }
 
 // New returns an instance; Run starts it.
@@ -178,6 +180,9 @@
 		ed.grantSyncs = append(ed.grantSyncs, newGrantSync(ed, sh, ix))
 	}
 	ed.overload = newOverload(ed)
+	if cf.Settings.LinkMegabits > 0 {
+		ed.reads = readCounter{shedder: ed.overload.shedder}
+	}
 	ed.servers = newServers(ed)
 	return ed
 }
@@ -355,6 +360,7 @@
 	ed.metrics.Gauge("weir_body_memory_bytes", func() float64 { return float64(ed.space.Used()) })
 	ed.metrics.Gauge("weir_requests_in_flight", func() float64 { return float64(ed.servers.active.Load()) })
 	ed.metrics.Gauge("weir_instance_lag_seconds", func() float64 { return ed.overload.shedder.Lag(ed.config.Clock()).Seconds() })
+	ed.metrics.Gauge("weir_link_incoming_used", func() float64 { return ed.overload.shedder.State(ed.config.Clock()).Incoming })
 	ed.metrics.Gauge("weir_shed_level", func() float64 { return ed.overload.shedder.State(ed.config.Clock()).Level })
 	ed.metrics.Gauge("weir_link_to_endpoints_cut", func() float64 {
 		if ed.paths.LinkCut() {
--- a/internal/edge/export_test.go
+++ b/internal/edge/export_test.go
@@ -11,3 +11,6 @@
 
 // Shedding reports whether the instance refuses requests.
 func (ed *Edge) Shedding() bool { return ed.overload.shedder.State(ed.config.Clock()).Shedding }
+
+// ShedReason returns why the instance refuses requests.
+func (ed *Edge) ShedReason() string { return ed.overload.shedder.State(ed.config.Clock()).Reason }
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -128,14 +128,14 @@
 	return address
 }
 
-func (fl *fleet) start(name string) *instance { return fl.startLimited(name, 0) }
+func (fl *fleet) start(name string) *instance { return fl.startLimited(name, 0, 0) }
 
-// startLimited starts an instance that may use so many cores; zero means that no limit is known.
-func (fl *fleet) startLimited(name string, cores float64) *instance {
+// startLimited starts an instance that may use so many cores and a link of so many megabits a second; zero means that no limit is known.
+func (fl *fleet) startLimited(name string, cores, megabits float64) *instance {
 	se := config.Edge{
 		Name: name, Domain: "zone-a", CallerAddress: fl.freeAddress(), ReadyAddress: fl.freeAddress(), PeerAddress: fl.freeAddress(),
 		StoreAddress: fl.storeURL, FirstStart: !fl.started(name), Grace: 8 * time.Second, RetryRatio: 0.2, RetryHeadroom: 50, RetryWindow: 10 * time.Second,
-		MemoryMegabytes: 256, CPUCores: cores,
+		MemoryMegabytes: 256, CPUCores: cores, LinkMegabits: megabits,
 	}
 	return fl.run(se)
 }
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -104,7 +104,7 @@
 	refused := ov.edge.metrics.Counter("weir_shed_requests_total").Get()
 	if st.Shedding {
 		ov.begun, ov.refusals = now, refused
-		ov.edge.config.Logger.Info("shedding begins", "reason", st.Reason, "lag", st.Lag.Seconds(), "busy", st.Busy, "level", st.Level,
+		ov.edge.config.Logger.Info("shedding begins", "reason", st.Reason, "lag", st.Lag.Seconds(), "busy", st.Busy, "incoming", st.Incoming, "level", st.Level,
 			"inFlight", st.InFlight, "arrivals", st.Arrivals, "completions", st.Completions)
 		return
 	}
--- a/internal/edge/overload_test.go
+++ b/internal/edge/overload_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/clementineweir/clementineweir/pkg/shed"
 	"github.com/clementineweir/clementineweir/platform/stand"
 )
 
@@ -19,7 +20,7 @@
 func TestOverloadedInstanceRefuses(tt *testing.T) {
 	fl := newFleet(tt, fleetConfig{prepaid: plenty, pause: 400 * time.Millisecond})
 	// All that the process does is more than this share of a core.
-	in := fl.startLimited("instance-small", 0.0001)
+	in := fl.startLimited("instance-small", 0.0001, 0)
 	fl.await("the instance is ready", in.edge.Ready)
 	taken := make(chan response, 1)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -58,3 +59,26 @@
 		tt.Errorf("the response to the request that was taken before (-want +got):\n%s", diff)
 	}
 }
+
+// TestFullDownlinkRefuses guards against an instance whose link is full of what callers send and that does not notice, since it refuses these requests and
+// reads their bodies only to the end.
+func TestFullDownlinkRefuses(tt *testing.T) {
+	fl := newFleet(tt, fleetConfig{prepaid: plenty})
+	in := fl.startLimited("instance-small", 0, 2)
+	fl.await("the instance is ready", in.edge.Ready)
+	body := strings.Repeat("x", 50_000)
+	number := 0
+	var refused response
+	fl.await("a request is refused", func() bool {
+		number++
+		fl.send(in, request{id: fmt.Sprint("no-key-", number), route: "unsafe", key: "unknown", body: body})
+		refused = fl.send(in, request{id: fmt.Sprint("shed-", number), route: "unsafe", key: testKey, header: map[string]string{stand.HeaderDeadline: "500"}})
+		return refused.Status != http.StatusOK
+	})
+	if refused.Status != http.StatusServiceUnavailable || !strings.Contains(refused.Body, `"notRun"`) || in.edge.ShedReason() != shed.Incoming {
+		tt.Errorf("the response to a refused request: %+v, reason %q", refused, in.edge.ShedReason())
+	}
+	if runs := fl.runsOf(fmt.Sprint("shed-", number)); len(runs) > 0 {
+		tt.Errorf("endpoints ran the refused request %d times", len(runs))
+	}
+}
--- a/internal/edge/paths.go
+++ b/internal/edge/paths.go
@@ -10,6 +10,7 @@
 	"github.com/clementineweir/clementineweir/internal/conns"
 	"github.com/clementineweir/clementineweir/internal/mesh"
 	"github.com/clementineweir/clementineweir/pkg/reach"
+	"github.com/clementineweir/clementineweir/pkg/shed"
 )
 
 const (
@@ -34,6 +35,12 @@
 
 // Dial opens a connection to an endpoint; it implements conns.Dialer.
 func (pa *paths) Dial(ctx context.Context, endpoint, address string) (net.Conn, string, error) {
+	nc, peer, err := pa.dial(ctx, endpoint, address)
+	return pa.edge.reads.count(nc, shed.Endpoints), peer, err
+}
+
+// dial opens a connection to an endpoint, directly or through a peer.
+func (pa *paths) dial(ctx context.Context, endpoint, address string) (net.Conn, string, error) {
 	if !pa.tracker.Cut() {
 		nc, err := pa.dialDirect(ctx, endpoint, address)
 		if err == nil || ctx.Err() != nil || !pa.tracker.Cut() {
@@ -99,7 +106,7 @@
 	if err != nil && !pa.tracker.Cut() {
 		return nil, eris.Wrapf(mesh.ErrEndpoint, "connect to the endpoint %q: %s", endpoint, err)
 	}
-	return nc, err
+	return pa.edge.reads.count(nc, shed.Peers), err
 }
 
 // run checks the path to the endpoints until the context ends.
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -16,6 +16,7 @@
 	"github.com/clementineweir/clementineweir/internal/gate"
 	"github.com/clementineweir/clementineweir/internal/mesh"
 	"github.com/clementineweir/clementineweir/pkg/plan"
+	"github.com/clementineweir/clementineweir/pkg/shed"
 )
 
 const (
@@ -117,7 +118,7 @@
 	defer sv.accepting.RUnlock()
 	nc, err := sv.callers.Accept()
 	if err == nil {
-		sv.serverInForce().add(nc)
+		sv.serverInForce().add(sv.edge.reads.count(nc, shed.Callers))
 	}
 	return err
 }
@@ -205,7 +206,7 @@
 
 // runPeers serves the calls of the other instances.
 func (sv *servers) runPeers(ctx context.Context) error {
-	return serve(ctx, sv.peers, sv.relays)
+	return serve(ctx, countedListener{Listener: sv.peers, reads: sv.edge.reads, from: shed.Peers}, sv.relays)
 }
 
 // serve runs an HTTP server on a listener until the context ends.
--- a/pkg/shed/level.go
+++ b/pkg/shed/level.go
@@ -89,7 +89,24 @@
 	return min(1, sh.completions.perSecond(now)/arrivals)
 }
 
-// pressure returns the load in relation to the limits, 1 at a limit, and what it comes from.
+// measure returns what the controller follows.
+func (sh *Shedder) measure(now time.Duration) measure {
+	ms := measure{served: sh.served(now), spare: minSpare, maxLevel: maxLevel}
+	ms.pressure, ms.reason = sh.pressure(now)
+	if ms.reason == Processor {
+		ms.spare = max(minSpare, min(busyGoal/max(0.1, sh.busy()), sh.incoming.spare()))
+	}
+	if incoming := sh.incoming.pressure(); incoming > ms.pressure {
+		if ms.pressure < quietPressure {
+			// The other limits would let the level fall.
+			ms.maxLevel = sh.incoming.maxLevel()
+		}
+		ms.pressure, ms.reason = incoming, Incoming
+	}
+	return ms
+}
+
+// pressure returns the load in relation to the limits, 1 at a limit, and what it comes from; it leaves out the incoming direction of the link.
 func (sh *Shedder) pressure(now time.Duration) (pressure float64, reason string) {
 	reason = Processor
 	if sh.busy() >= busyLimit {
@@ -127,6 +144,8 @@
 	served float64
 	// spare is the factor by which more could be served while the pressure is low.
 	spare float64
+	// maxLevel is the greatest useful share to refuse.
+	maxLevel float64
 }
 
 // excess returns the part of the arriving requests that should be refused while there is a queue.
@@ -150,7 +169,7 @@
 	case !co.shedding && co.pressedFor >= beginTime && now-co.begunAt >= startTime:
 		co.shedding, co.level = true, min(maxBeginLevel, max(minBeginLevel, ms.excess()))
 	case co.shedding && ms.pressure >= 1:
-		co.follow(max(co.level, ms.excess()), step)
+		co.follow(min(ms.maxLevel, max(co.level, ms.excess())), step)
 	case co.shedding && ms.pressure < quietPressure:
 		co.follow(min(co.level, 1-min(maxSpare, ms.spare)*ms.served), step)
 		if co.level < endLevel {
--- a/pkg/shed/shed.go
+++ b/pkg/shed/shed.go
@@ -28,13 +28,15 @@
 	Link = "link"
 	// Writes means that most requests wait for writes to their callers.
 	Writes = "writes"
+	// Incoming means that as many bytes arrive as the link carries, so that others wait in front of it.
+	Incoming = "incoming"
 )
 
 // Config holds the limits of the machine.
 type Config struct {
 	// Cores is the processor time that the process may use, in cores. If it is zero, lag never counts as overload.
 	Cores float64
-	// LinkBytesPerSecond is the rate of the link, or zero if it is not known.
+	// LinkBytesPerSecond is the rate of the link in each direction, or zero if it is not known.
 	LinkBytesPerSecond float64
 	// Seed is the seed of the random choice of the requests that are refused.
 	Seed uint64
@@ -54,7 +56,7 @@
 type Verdict struct {
 	// Admitted reports whether the request may be served here.
 	Admitted bool
-	// Reason is Processor, Link or Writes for a refusal, and empty otherwise.
+	// Reason is Processor, Link, Writes or Incoming for a refusal, and empty otherwise.
 	Reason string
 	// RetryAfter is the delay after which the caller of a refused request should retry.
 	RetryAfter time.Duration
@@ -76,6 +78,8 @@
 	Lag time.Duration
 	// Busy is the part of its processor time that the process used in the last few hundred ms.
 	Busy float64
+	// Incoming is the part of the incoming direction of the link that was used in the last few hundred ms, or zero if its rate is not known.
+	Incoming float64
 	// InFlight is the number of requests that were admitted and have not ended.
 	InFlight int
 	// Arrivals and Completions are the requests a second that arrived and that ended.
@@ -91,6 +95,7 @@
 	lag         lagMeter
 	processor   processorMeter
 	link        linkMeter
+	incoming    incomingMeter
 	arrivals    [classes]rate
 	completions rate
 	inFlight    int
@@ -107,12 +112,8 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	sh.lag.record(now, lag)
-	pressure, reason := sh.pressure(now)
-	spare := float64(minSpare)
-	if reason == Processor {
-		spare = max(minSpare, busyGoal/max(0.1, sh.busy()))
-	}
-	sh.controller.update(now, measure{pressure: pressure, reason: reason, served: sh.served(now), spare: spare})
+	sh.incoming.record(now, sh.config.LinkBytesPerSecond)
+	sh.controller.update(now, sh.measure(now))
 }
 
 // RecordCPU records the processor time that the process has used since its start.
@@ -129,6 +130,9 @@
 	sh.link.record(now, bytes, blocked, sh.config.LinkBytesPerSecond)
 }
 
+// RecordRead records that a number of bytes was read from the link. It only counts, so that it can be called for every read.
+func (sh *Shedder) RecordRead(from Source, bytes int) { sh.incoming.read[from].Add(int64(bytes)) }
+
 // Begin records that an admitted request begins.
 func (sh *Shedder) Begin(time.Duration) {
 	sh.mu.Lock()
@@ -169,23 +173,23 @@
 func (sh *Shedder) Elsewhere(timeLeft time.Duration) (time.Duration, bool) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	if !sh.controller.shedding && sh.controller.pressedFor == 0 {
+	if !sh.controller.shedding && sh.controller.pressedFor == 0 && !sh.incoming.full() {
 		return 0, false
 	}
 	return sh.retryAfter(timeLeft), true
 }
 
-// Delay returns by how much this instance delays what it sends and reads now: its lag, and the queue of its link.
+// Delay returns by how much this instance delays what it sends and reads now: its lag, and the queues of its link.
 func (sh *Shedder) Delay(now time.Duration) time.Duration {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	return sh.lag.current(now) + sh.link.delay(now, sh.config.LinkBytesPerSecond)
+	return sh.lag.current(now) + sh.link.delay(now, sh.config.LinkBytesPerSecond) + sh.incoming.delay()
 }
 
 // late reports whether the request would lose so much time at this instance that it should be retried elsewhere. While requests are refused, the lag counts as
 // at least lagLimit: it is lower only because of the refusals.
 func (sh *Shedder) late(now time.Duration, rq Request) bool {
-	delay := requestSteps*max(lagLimit, sh.lag.peak) + sh.link.delay(now, sh.config.LinkBytesPerSecond) + sh.link.meanBlocked(now)
+	delay := requestSteps*max(lagLimit, sh.lag.peak) + sh.link.delay(now, sh.config.LinkBytesPerSecond) + sh.link.meanBlocked(now) + sh.incoming.peak
 	return delay > rq.TimeLeft/lateShare
 }
 
@@ -202,7 +206,7 @@
 	defer sh.mu.Unlock()
 	return State{
 		Shedding: sh.controller.shedding, Reason: sh.controller.reason, Level: sh.controller.level, Lag: sh.lag.median(),
-		Busy: sh.busy(), InFlight: sh.inFlight, Arrivals: sh.arrivalRate(now), Completions: sh.completions.perSecond(now),
+		Busy: sh.busy(), Incoming: sh.incoming.used, InFlight: sh.inFlight, Arrivals: sh.arrivalRate(now), Completions: sh.completions.perSecond(now),
 	}
 }
 
