--- a/internal/edge/export_test.go
+++ b/internal/edge/export_test.go
@@ -14,3 +14,6 @@
 
 // LinkCut reports whether the link to the endpoints counts as cut.
 func (ed *Edge) LinkCut() bool { return ed.paths.LinkCut() }
+
+// ShedReason returns why the instance refuses requests.
+func (ed *Edge) ShedReason() string { return ed.overload.shedder.State(ed.config.Clock()).Reason }
