Quota: rows leave out the fields that are zero

Cause: all instances read all rows, and each row states its 16 fields, also those that are zero: 12 of 110 bytes with the key in a row without demand. Change: fields that are zero are left out.

--- a/pkg/quota/row.go
+++ b/pkg/quota/row.go
@@ -14,40 +14,41 @@
 // Row is the record in the topic for one team at one instance; all amounts are in tokens.
 //
 // A further field would make the row unreadable to older builds (record.Unmarshal fails on unknown fields), and for those the whole total then
-// counts as granted until no such row is left.
+// counts as granted until no such row is left. Fields that are zero are left out, which older builds read as zero: all instances read all rows, and
+// in rows without demand it saves a tenth of the bytes.
 type Row struct {
 	// Granted is the limit on the tokens that this and all earlier incarnations of the instance may use together; see account.used.
-	Granted int64 `cbor:"1,keyasint"`
+	Granted int64 `cbor:"1,keyasint,omitempty"`
 	// Base, Rate and Delay define the ceiling, a limit on the tokens used that rises with time. The ceiling starts at Base tokens. Once Delay
 	// has passed since the row was built, it rises by Rate tokens a second. See also BurstRate, BurstDelay and MaxCeiling.
-	Base  int64         `cbor:"2,keyasint"`
-	Rate  int64         `cbor:"3,keyasint"`
-	Delay time.Duration `cbor:"4,keyasint"`
+	Base  int64         `cbor:"2,keyasint,omitempty"`
+	Rate  int64         `cbor:"3,keyasint,omitempty"`
+	Delay time.Duration `cbor:"4,keyasint,omitempty"`
 	// Spent is the cost of finished requests, plus the tokens that count as spent by earlier incarnations.
-	Spent int64 `cbor:"5,keyasint"`
+	Spent int64 `cbor:"5,keyasint,omitempty"`
 	// Demand is the current rate of tokens spent and lent, in tokens a second.
-	Demand int64 `cbor:"6,keyasint"`
+	Demand int64 `cbor:"6,keyasint,omitempty"`
 	// Need is the sum of the tokens that waiting requests of this instance need.
-	Need int64 `cbor:"7,keyasint"`
+	Need int64 `cbor:"7,keyasint,omitempty"`
 	// Wall is the wall-clock time in Unix milliseconds, taken just before the row was appended.
-	Wall int64 `cbor:"8,keyasint"`
+	Wall int64 `cbor:"8,keyasint,omitempty"`
 	// Boot is the time since the machine was booted, in milliseconds, taken just before the row was appended.
-	Boot int64 `cbor:"9,keyasint"`
+	Boot int64 `cbor:"9,keyasint,omitempty"`
 	// Incarnation is the incarnation of the instance that wrote the row.
-	Incarnation int64 `cbor:"10,keyasint"`
+	Incarnation int64 `cbor:"10,keyasint,omitempty"`
 	// WrittenOff is the part of Spent that counts as spent although it is unknown whether earlier incarnations spent it.
-	WrittenOff int64 `cbor:"11,keyasint"`
+	WrittenOff int64 `cbor:"11,keyasint,omitempty"`
 	// BurstRate and BurstDelay make the ceiling rise faster later. Once BurstDelay has passed since the row was built, the ceiling rises by
 	// Rate + BurstRate tokens a second.
-	BurstRate  int64         `cbor:"12,keyasint"`
-	BurstDelay time.Duration `cbor:"13,keyasint"`
+	BurstRate  int64         `cbor:"12,keyasint,omitempty"`
+	BurstDelay time.Duration `cbor:"13,keyasint,omitempty"`
 	// OwnDemand is the part of Demand that the instance spends itself, in tokens a second. The rest of Demand are tokens lent to peers.
-	OwnDemand int64 `cbor:"14,keyasint"`
+	OwnDemand int64 `cbor:"14,keyasint,omitempty"`
 	// NetLent is the number of tokens lent to peers less those received from peers; it is part of the tokens used
 	// (account.used), but not of Spent. It includes the transfers of earlier incarnations; rows of older builds count those in Spent.
-	NetLent int64 `cbor:"15,keyasint"`
+	NetLent int64 `cbor:"15,keyasint,omitempty"`
 	// MaxCeiling is the highest value that the ceiling reaches; zero means that it is not bounded.
-	MaxCeiling int64 `cbor:"16,keyasint"`
+	MaxCeiling int64 `cbor:"16,keyasint,omitempty"`
 }
 
 // ceiling returns the maximum number of tokens that the instance may have used at the given time after the row was built.
--- a/pkg/quota/row_test.go
+++ b/pkg/quota/row_test.go
@@ -1,10 +1,13 @@
 package quota
 
 import (
+	"errors"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/clementineweir/clementineweir/pkg/record"
 )
 
 // TestElapsed compares the clocks of two incarnations of one instance.
@@ -38,3 +41,27 @@
 		})
 	}
 }
+
+// TestRowLeavesOutZeros guards against rows that state each field, also those that are zero, and against one that reads differently then: its grant
+// would count as another.
+func TestRowLeavesOutZeros(tt *testing.T) {
+	for _, row := range []Row{{}, {Granted: 1}, {Granted: -7, Base: -7, Spent: 3, NetLent: -10, MaxCeiling: -7, Incarnation: 2}} {
+		re, err := encodeRow(testTeam, "instance-0", row)
+		if err != nil {
+			tt.Fatal(err)
+		}
+		var fields map[int]int64
+		var got Row
+		if err := errors.Join(record.Unmarshal(re.Value, &got), record.Unmarshal(re.Value, &fields)); err != nil {
+			tt.Fatal(err)
+		}
+		for key, val := range fields {
+			if val == 0 {
+				tt.Errorf("the field %d of %+v is zero and written", key, row)
+			}
+		}
+		if diff := cmp.Diff(row, got); diff != "" {
+			tt.Errorf("row (-want +got):\n%s", diff)
+		}
+	}
+}
