LOST: lost responses counted as crashes, and sound requests were refused for ten minutes

Cause: an endpoint that resets a connection before its response counts as crashed unless no other endpoint can be reached.

Change: before a crash is recorded, the endpoint itself is probed on a new connection. One that answers has not crashed, since a restart takes seconds. The stand-ins answer probes only if they are up; the HTTP server of the library had answered for crashed ones.

--- a/internal/cmds/routed.go
+++ b/internal/cmds/routed.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return exitErrorf(ExitFailed, "a port is in use; choose another --base-port: %s", err)
 	}
-	se := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	se := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, DisableGeneralOptionsHandler: true}
 	si.servers = append(si.servers, se)
 	go si.run(se, li)
 	return nil
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -107,7 +107,9 @@
 
 // listen runs a server on the loopback interface until the end of the test and returns its address.
 func (fl *fleet) listen(handler http.Handler) string {
-	se := httptest.NewServer(handler)
+	se := httptest.NewUnstartedServer(handler)
+	se.Config.DisableGeneralOptionsHandler = true
+	se.Start()
 	fl.tt.Cleanup(se.CloseClientConnections)
 	return strings.TrimPrefix(se.URL, "http://")
 }
--- a/internal/edge/probes.go
+++ b/internal/edge/probes.go
@@ -15,6 +15,9 @@
 const (
 	// probeTimeout bounds a probe of the path to an endpoint.
 	probeTimeout = 400 * time.Millisecond
+	// answerTimeout bounds the probe of an endpoint that has broken a connection. A crashed one refuses connections at once; the request that was cut
+	// off waits for the result before it is sent again.
+	answerTimeout = 200 * time.Millisecond
 	// maxProbed is the number of endpoints that are probed at the same time, and maxProbes that of all. Some of them may have failed themselves:
 	// requests that crash endpoints take several within a second.
 	maxProbed = 2
@@ -54,6 +57,19 @@
 	return pa.check(endpoint, relayed)
 }
 
+// Answers implements gate.Link.
+func (pa *paths) Answers(en *roster.Endpoint, relayed bool) bool {
+	dial := pa.direct.Dial
+	if relayed {
+		dial = pa.relay
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	answers := make(chan bool, 1)
+	pa.runProbe(ctx, en, dial, answers)
+	return <-answers
+}
+
 // confirmCut probes the link after connections to several endpoints could not be opened, and counts it as cut unless another endpoint answers.
 func (pa *paths) confirmCut(endpoint string) {
 	pa.probes.mu.Lock()
--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -11,7 +11,7 @@
 )
 
 // recordCrash is called when the endpoint broke the connection although this instance did not cancel the attempt. Unless the stream had
-// begun, the endpoint may have crashed because of the request.
+// begun, the endpoint may have crashed because of the request. It has not if it answers on a new connection: a restart takes seconds.
 func (fw *forwarder) recordCrash(de place.Decision, err error) {
 	pr := fw.request
 	if fw.eventCount > maxCrashEvents {
@@ -24,7 +24,13 @@
 	}
 	relayLost := errors.Is(err, conns.ErrRelayLost)
 	direct := pr.entry.relayPeer == ""
-	if relayLost || (direct && (pr.gate.config.Link.Silent() || pr.gate.config.Pool.BrokenTogether(de.Endpoint.Address))) || !pr.gate.config.Link.Works(de.Endpoint.ID, !direct) {
+	silent := direct && pr.gate.config.Link.Silent()
+	if !relayLost && !silent && pr.gate.config.Link.Answers(de.Endpoint, !direct) {
+		pr.gate.config.Metrics.Counter("weir_endpoint_resets_total").Inc()
+		pr.gate.config.Logger.Info("connection broken", "request", pr.info.ID, "endpoint", de.Endpoint.ID, "relayedBy", pr.entry.relayPeer, "reason", err.Error())
+		return
+	}
+	if relayLost || silent || (direct && pr.gate.config.Pool.BrokenTogether(de.Endpoint.Address)) || !pr.gate.config.Link.Works(de.Endpoint.ID, !direct) {
 		pr.gate.config.Metrics.Counter("weir_links_broken_total").Inc()
 		pr.gate.config.Logger.Info("link broken", "request", pr.info.ID, "endpoint", de.Endpoint.ID, "relayedBy", pr.entry.relayPeer,
 			"relayLost", relayLost, "reason", err.Error())
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -74,6 +74,9 @@
 type Link interface {
 	// Silent reports whether this instance reaches no endpoint itself and hears from none.
 	Silent() bool
+	// Answers reports whether the process of an endpoint that has broken a connection answers a request on a new one, which no endpoint runs: then it
+	// has not crashed. It takes the time of a round trip, or a little longer if nothing comes back.
+	Answers(en *roster.Endpoint, relayed bool) bool
 	// Works reports whether other endpoints than the given one can be reached, directly or through peers, so that a broken connection to it says something
 	// about this endpoint. It takes the time of a round trip, or a little longer if no endpoint can be reached.
 	Works(endpoint string, relayed bool) bool
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -125,6 +125,8 @@
 		wo.tt.Fatal(err)
 	}
 	se.Listener = li
+	// Endpoints that are down must not answer probes.
+	se.Config.DisableGeneralOptionsHandler = true
 	se.Start()
 	wo.tt.Cleanup(se.CloseClientConnections)
 	return strings.TrimPrefix(se.URL, "http://")
