Place: refusals use the one formula of the queue limit; soak: cases speak of deadlines

Cause: refuseLate repeated the formula of Request.QueueLimit, and two cases of drain_test.go had the platform's word for deadlines in their names. Change: refuseLate calls QueueLimit; the cases are renamed. Times are whole nanoseconds, so that the comparison with the truncated limit gives the same result.

--- a/internal/soak/drain_test.go
+++ b/internal/soak/drain_test.go
@@ -111,13 +111,13 @@
 		want map[int]bool
 	}{
 		{
-			"time limits of some seconds", 3 * time.Second, 2 * time.Second, 250 * time.Millisecond,
+			"deadlines of some seconds", 3 * time.Second, 2 * time.Second, 250 * time.Millisecond,
 			[]time.Duration{3100 * time.Millisecond, 4200 * time.Millisecond, 5200 * time.Millisecond, 6200 * time.Millisecond, 6900 * time.Millisecond},
 			[]string{"unsafe", "safe", "stream", "resume"},
 			map[int]bool{http.StatusOK: true, http.StatusServiceUnavailable: true},
 		},
 		{
-			"time limits beyond the drain", 15 * time.Second, 12 * time.Second, time.Second,
+			"deadlines beyond the drain", 15 * time.Second, 12 * time.Second, time.Second,
 			[]time.Duration{3100 * time.Millisecond, 6900 * time.Millisecond},
 			[]string{"unsafe", "safe", "stream", "resume"},
 			map[int]bool{http.StatusServiceUnavailable: true},
--- a/pkg/place/refuse.go
+++ b/pkg/place/refuse.go
@@ -23,7 +23,7 @@
 // capacity for the others. The refused callers learn when to retry instead of waiting in vain.
 func refuseLate(rq Request, de Decision) Decision {
 	late := float64(de.TimeToFirstEvent) > lateShare*float64(rq.TimeLeft)
-	overloaded := rq.Prompt > 0 && !rq.Resumed && float64(de.QueueTime) > queueShares[min(max(0, rq.Rank), len(queueShares)-1)]*float64(rq.TimeLeft)
+	overloaded := rq.Prompt > 0 && !rq.Resumed && de.QueueTime > rq.QueueLimit()
 	if rq.TimeLeft <= 0 || (!late && !overloaded) {
 		return de
 	}
