--- a/review/testdata/rig/returned.go
+++ b/review/testdata/rig/returned.go
@@ -21,9 +21,20 @@
 
 // playReturned kills all instances while the store is away for a moment; the store comes back from a copy some seconds old.
 func playReturned(rec *record, root string, trouble bool) (bool, error) {
+	return playBudget(rec, root, 4_000_000, os.Getenv("PARTS"), trouble)
+}
+
+// playReplaced takes all machines away at one moment, without SIGTERM, and adds as many others.
+func playReplaced(rec *record, root string, trouble bool) (bool, error) {
+	return playBudget(rec, root, 1_000_000, "replace", trouble)
+}
+
+// playBudget plays a fault of all machines: how is empty for a return of the store while all processes are killed, "kill" or "return" for one of the two,
+// and "replace" for machines that are gone for good.
+func playBudget(rec *record, root string, prepaid int64, how string, trouble bool) (bool, error) {
 	const events = 10
 	wo, err := newWorld(rec, root, stand.Manifest{
-		Version: 1, Host: host, TimeoutMs: 12_000, TargetMs: 800, Model: model, Plain: plain, Stride: 7, Team: team, Key: teamKey, Prepaid: 4_000_000,
+		Version: 1, Host: host, TimeoutMs: 12_000, TargetMs: 800, Model: model, Plain: plain, Stride: 7, Team: team, Key: teamKey, Prepaid: prepaid,
 		Routes: []stand.Route{{Name: "review", Kind: "streaming", Service: model, Sends: 2, Resume: true}},
 	})
 	if err != nil {
@@ -46,9 +57,8 @@
 	before, after := newCrowd(wo, "/review/1", events, 600), newCrowd(wo, "/review/1", events, 600)
 	after.number = 1 << 20
 	before.run(20, 15*time.Second)
-	how := os.Getenv("PARTS")
 	if trouble {
-		if how != "kill" {
+		if how != "kill" && how != "replace" {
 			rec.add("the store is away")
 			wo.store.SetFault(stand.Refusing)
 		}
@@ -59,14 +69,18 @@
 			}
 		}
 		time.Sleep(awayTime)
-		if how != "kill" {
+		if how != "kill" && how != "replace" {
 			lost := wo.store.Restore(copyAge)
 			wo.store.SetFault(stand.NoFault)
 			rec.add("the store is back, from a copy that is %s old", copyAge)
 			time.AfterFunc(200*time.Millisecond, func() { wo.store.PutAgain(lost) })
 		}
 		time.Sleep(downTime - awayTime)
-		if how != "return" {
+		if how == "replace" {
+			if err := wo.replaceNodes(); err != nil {
+				return false, err
+			}
+		} else if how != "return" {
 			for _, no := range wo.nodes {
 				no.kill()
 				if err := no.start(); err != nil {
@@ -118,3 +132,18 @@
 	}
 	return served, len(cr.list)
 }
+
+// replaceNodes starts a new machine for each that is gone for good, under another name and at other addresses.
+func (wo *world) replaceNodes() error {
+	gone := wo.nodes
+	wo.nodes = nil
+	for _, no := range gone {
+		no.kill()
+	}
+	for ix := range gone {
+		if err := wo.addNode(len(gone) + ix); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/review/testdata/rig/world.go
+++ b/review/testdata/rig/world.go
@@ -25,6 +25,9 @@
 	teamKey = "key-1"
 )
 
+// firstNodes is the number of machines with which the whole system starts for the first time.
+const firstNodes = 4
+
 // zones are the failure domains of the deployment.
 var zones = []string{"zone-a", "zone-b", "zone-c"}
 
@@ -116,7 +119,7 @@
 
 // addNode starts an instance with the settings of a small deployment.
 func (wo *world) addNode(ix int) error {
-	no := &node{world: wo, name: fmt.Sprintf("edge-%d", ix+1), zone: zones[ix%len(zones)], first: true}
+	no := &node{world: wo, name: fmt.Sprintf("edge-%d", ix+1), zone: zones[ix%len(zones)], first: ix < firstNodes}
 	no.settings = filepath.Join(wo.dir, no.name+".ini")
 	for _, to := range []*string{&no.callers, &no.ready, &no.peer} {
 		var err error
