--- a/review/testdata/rig/inplace.go
+++ b/review/testdata/rig/inplace.go
@@ -24,7 +24,7 @@
 	wo, err := newWorld(rec, root, stand.Manifest{
 		Version: 1, Host: host, TimeoutMs: 12_000, TargetMs: 800, Model: model, Plain: plain, Stride: 7, Team: team, Key: teamKey, Prepaid: 1 << 40,
 		Routes: []stand.Route{{Name: "review", Kind: "streaming", Service: model, Sends: 2, Resume: true}},
-	})
+	}.Encode())
 	if err != nil {
 		return false, err
 	}
--- a/review/testdata/rig/main.go
+++ b/review/testdata/rig/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(rec *record, root string, trouble bool) (bool, error){
 	"inplace":  playInPlace,
 	"returned": playReturned,
+	"split":    playSplit,
 	"replaced": playReplaced,
 }
 
