--- a/review/testdata/rig/split.go
+++ b/review/testdata/rig/split.go
@@ -41,6 +41,7 @@
 
 // playSplit kills one machine after another, so that the requesters of its streams take them up again at the others.
 func playSplit(rec *record, root string, trouble bool) (bool, error) {
+	splitServices = splitServices[:int(envFloat("SERVICES", float64(len(splitServices))))]
 	wo, err := newWorld(rec, root, splitManifest())
 	if err != nil {
 		return false, err
