--- a/review/testdata/rig/main.go
+++ b/review/testdata/rig/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(rec *record, root string, trouble bool) (bool, error){
 	"returned": playReturned,
 	"split":    playSplit,
+	"gone":     playGone,
 	"stale":    playStale,
 	"replaced": playReplaced,
 }
--- a/review/testdata/rig/runner.go
+++ b/review/testdata/rig/runner.go
@@ -14,10 +14,8 @@
 	"github.com/clementineweir/clementineweir/platform/wire"
 )
 
-// heartbeat is the interval at which runners renew their entries.
-const heartbeat = 1200 * time.Millisecond
-
-// runner stands in for one server. Each start is a new process with a new value of born, under the same ID and address.
+// runner stands in for one server. Each start is a new process with a new value of born, under the same ID and address. It writes its entry at its start: a
+// heartbeat that changes the sequence alone leaves the entry as it is.
 type runner struct {
 	world       *world
 	id, service string
@@ -79,24 +77,9 @@
 	se.Handler = http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) { ru.serve(wr, rq, version) })
 	go func() { _ = se.Serve(li) }()
 	ru.register("ready")
-	go ru.beat(born)
 	return nil
 }
 
-// beat renews the entry as long as the process runs.
-func (ru *runner) beat(born int64) {
-	for {
-		time.Sleep(heartbeat)
-		ru.mu.Lock()
-		alive := ru.born == born && ru.listener != nil
-		ru.mu.Unlock()
-		if !alive {
-			return
-		}
-		ru.register("ready")
-	}
-}
-
 // register writes the runner's entry.
 func (ru *runner) register(state string) {
 	ru.mu.Lock()
