--- a/review/testdata/rig/stale.go
+++ b/review/testdata/rig/stale.go
@@ -216,7 +216,7 @@
 		cr := newCrowd(wo, "/review/1", events, 200)
 		cr.only, cr.number = no, ix<<20
 		crowds[no] = cr
-		group.Go(func() { cr.run(calmRate, 10*time.Second) })
+		group.Go(func() { cr.run(calmRate, 8500*time.Millisecond) })
 	}
 	time.Sleep(9500 * time.Millisecond)
 	ma.Version, ma.Prepaid = 2, firstPrepaid+topUp
