DRAIN: a removed endpoint was taken for one whose registration expired in the cut before

Cause: the end of an outage was noticed at the end of the first successful read, which waited for a change, so that the removal itself began the two seconds in which a registration that ends is doubted. Ruled out, by the new line "endpoint missing": removals that are read late, and requests that waited. Change: reads of an unreachable store do not wait for changes; the two seconds begin when the store is reached and end on time; a call for any topic that reaches the store wakes the reader; a read that is answered only when repeated ends an outage.

--- a/internal/edge/registrations.go
+++ b/internal/edge/registrations.go
@@ -9,14 +9,6 @@
 	"github.com/clementineweir/clementineweir/pkg/roster"
 )
 
-const (
-	// registrationPause lets several heartbeats gather for one read. The pause and the read together stay well below the time allowed to
-	// stop sending requests to a leaving (draining) endpoint.
-	registrationPause = 350 * time.Millisecond
-	// registrationWait bounds how long one read waits for a change; heartbeats come more often.
-	registrationWait = 2 * time.Second
-)
-
 // endpointWatcher keeps the roster up to date with the registrations of endpoints in the store.
 type endpointWatcher struct {
 	edge    *Edge
@@ -35,13 +27,11 @@
 }
 
 func (ew *endpointWatcher) run(ctx context.Context) error {
+	var next roster.Read
 	for ctx.Err() == nil {
-		// While registrations are missing, reads don't wait for changes, so that ReadSucceeded soon drops endpoints that stay missing.
-		wait := registrationWait
-		if ew.edge.roster.HasMissing() {
-			wait = 0
-		}
-		err := ew.view.Poll(ctx, wait)
+		begun := ew.edge.config.Clock()
+		regained := ew.edge.mesh.StoreRegained()
+		err := ew.view.Poll(ctx, next.Wait)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -49,30 +39,47 @@
 		if err != nil {
 			ew.outages.recordFailure(now, err)
 			ew.edge.roster.ReadFailed()
-			pause(ctx, retryPause)
+			next = ew.edge.roster.NextRead(begun, now)
+			pauseUntil(ctx, next.Pause, regained)
 			continue
 		}
 		ew.outages.recordSuccess(now)
 		ew.edge.recordEra(&ew.outages, ew.view)
-		ew.edge.roster.ReadSucceeded(now)
+		for _, re := range ew.edge.roster.ReadSucceeded(now) {
+			ew.edge.config.Logger.Info("endpoint gone", "endpoint", re.ID, "offset", ew.view.Next(), "kept", re.Kept.Seconds())
+		}
 		ew.edge.origins.shareMixed()
 		ew.loaded.Store(true)
-		pause(ctx, registrationPause)
+		next = ew.edge.roster.NextRead(begun, now)
+		pause(ctx, next.Pause)
 	}
 	return nil
 }
 
+// noteRepeat tells the roster of an outage that ended within the read: it was answered only when it was repeated.
+func (ew *endpointWatcher) noteRepeat() {
+	if ew.view.Repeated() {
+		ew.edge.roster.ReadFailed()
+	}
+}
+
 // Reset replaces the roster by the newest registration of every endpoint.
 func (ew *endpointWatcher) Reset(sn keyed.Snapshot) {
+	ew.noteRepeat()
 	if sn.Restored {
 		ew.edge.roster.StoreRestored(ew.edge.config.Clock())
 	}
-	ew.logChanges(ew.edge.roster.Replace(ew.edge.config.Clock(), ew.decode(sn.Records)))
+	now := ew.edge.config.Clock()
+	age := ew.edge.roster.Age(now)
+	ew.logChanges(ew.edge.roster.Replace(now, ew.decode(sn.Records)), age)
 }
 
 // Apply applies new registrations to the roster.
 func (ew *endpointWatcher) Apply(list []keyed.Record) {
-	ew.logChanges(ew.edge.roster.Apply(ew.edge.config.Clock(), ew.decode(list)))
+	ew.noteRepeat()
+	now := ew.edge.config.Clock()
+	age := ew.edge.roster.Age(now)
+	ew.logChanges(ew.edge.roster.Apply(now, ew.decode(list)), age)
 }
 
 func (ew *endpointWatcher) decode(list []keyed.Record) []roster.Change {
@@ -103,9 +110,13 @@
 	ew.edge.config.Logger.Info("registration rejected", "endpoint", id, "reason", err.Error())
 }
 
-// logChanges logs the changes of the roster.
-func (ew *endpointWatcher) logChanges(list []roster.Change) {
+// logChanges logs the changes of the roster; age is the time since the previous successful read.
+func (ew *endpointWatcher) logChanges(list []roster.Change, age time.Duration) {
 	for _, ch := range list {
+		if ch.Kept {
+			ew.edge.config.Logger.Info("endpoint missing", "endpoint", ch.ID, "offset", ew.view.Next(), "lastRead", age.Seconds())
+			continue
+		}
 		// A change without an endpoint is a removal.
 		if ch.Endpoint == nil {
 			ew.edge.config.Logger.Info("endpoint gone", "endpoint", ch.ID, "offset", ew.view.Next())
--- a/internal/edge/watcher.go
+++ b/internal/edge/watcher.go
@@ -50,10 +50,14 @@
 func (cw *configWatcher) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		wait := configWait
+		if cw.outages.failing {
+			// The end of an outage is noticed at once, not at the next change.
+			wait = 0
+		}
 		if version, ok := cw.missing(); ok {
 			// Peers that start now would read an older version from the store.
 			cw.notify(version)
-			wait = noticeInterval
+			wait = min(wait, noticeInterval)
 		}
 		err := cw.view.Poll(ctx, wait)
 		if ctx.Err() != nil {
@@ -200,3 +204,14 @@
 	case <-ti.C:
 	}
 }
+
+// pauseUntil waits for the delay, or until the context ends or the channel is closed.
+func pauseUntil(ctx context.Context, delay time.Duration, ended <-chan struct{}) {
+	ti := time.NewTimer(delay)
+	defer ti.Stop()
+	select {
+	case <-ctx.Done():
+	case <-ti.C:
+	case <-ended:
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -95,6 +95,8 @@
 	// storeFailedAt is the time of the last direct call to the store if that call failed to reach it, and zero if it succeeded. It covers the
 	// calls for all topics.
 	storeFailedAt atomic.Int64
+	// storeRegained is closed when a direct call reaches the store after one that did not, and then replaced.
+	storeRegained chan struct{}
 }
 
 // maxHeaderBytes is the maximum size of the status and the headers of a peer's response.
@@ -103,7 +105,7 @@
 // New returns a mesh without peers.
 func New(config Config) *Mesh {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return &Mesh{config: config, peers: map[string]*peer{}, withdrawn: map[string]int64{}, http: &http.Client{Transport: &http.Transport{
+	return &Mesh{config: config, peers: map[string]*peer{}, withdrawn: map[string]int64{}, storeRegained: make(chan struct{}), http: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 2, DisableCompression: true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}}
@@ -169,6 +171,20 @@
 // StoreReachable reports whether the last direct call to the store, for any topic, reached it.
 func (me *Mesh) StoreReachable() bool { return me.storeFailedAt.Load() == 0 }
 
+// StoreRegained returns a channel that is closed as soon as a direct call, for any topic, reaches the store again.
+func (me *Mesh) StoreRegained() <-chan struct{} {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	return me.storeRegained
+}
+
+func (me *Mesh) announceRegained() {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	close(me.storeRegained)
+	me.storeRegained = make(chan struct{})
+}
+
 // Members returns the sorted names of all instances with a current announcement, including this one.
 func (me *Mesh) Members() []string {
 	me.mu.Lock()
--- a/internal/mesh/topic.go
+++ b/internal/mesh/topic.go
@@ -44,7 +44,9 @@
 // recordResult records whether a direct call reached the store; err is the error of the call.
 func (to *topic) recordResult(err error) {
 	if err == nil || conclusive(err) {
-		to.mesh.storeFailedAt.Store(0)
+		if to.mesh.storeFailedAt.Swap(0) != 0 {
+			to.mesh.announceRegained()
+		}
 		return
 	}
 	to.mesh.storeFailedAt.Store(int64(to.mesh.config.Clock()))
--- a/pkg/keyed/topic.go
+++ b/pkg/keyed/topic.go
@@ -36,6 +36,8 @@
 	Next int64
 	// Era is the era of the store that returned the page.
 	Era Era
+	// Repeated is set if the first read got no answer in time, and the page is that of a repeated one.
+	Repeated bool
 }
 
 // Era tells apart the times between which the store has come back from an older copy of its content. Offsets of different eras can't be compared,
--- a/pkg/keyed/view.go
+++ b/pkg/keyed/view.go
@@ -24,6 +24,8 @@
 	loaded bool
 	// era is the era of the store at the last page that stated it.
 	era Era
+	// repeated is Page.Repeated of the last page.
+	repeated bool
 }
 
 // NewView returns a view that has not read any records yet.
@@ -37,6 +39,9 @@
 // Era returns the era of the store at the last page that stated it.
 func (vi *View) Era() Era { return vi.era }
 
+// Repeated reports whether the last page was that of a repeated read: the store could not be reached for a time.
+func (vi *View) Repeated() bool { return vi.repeated }
+
 // Loaded reports whether a snapshot of the topic was read at least once.
 func (vi *View) Loaded() bool { return vi.loaded }
 
@@ -57,7 +62,7 @@
 		return vi.reload(ctx)
 	}
 	vi.recordEra(pg.Era)
-	vi.next = pg.Next
+	vi.next, vi.repeated = pg.Next, pg.Repeated
 	if len(pg.Records) > 0 {
 		vi.listener.Apply(pg.Records)
 	}
@@ -87,7 +92,7 @@
 	}
 	restored := pg.Era.Differs(vi.era)
 	vi.recordEra(pg.Era)
-	vi.next = pg.Next
+	vi.next, vi.repeated = pg.Next, pg.Repeated
 	vi.loaded = true
 	vi.listener.Reset(Snapshot{Records: pg.Records, Era: vi.era, Restored: restored})
 	return nil
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -96,6 +96,16 @@
 	ID string
 	// Endpoint is the new registration, or nil if the registration ended or does not describe a usable endpoint.
 	Endpoint *Endpoint
+	// Kept is set by Apply if the registration ended and the endpoint is kept for a time, because it may still renew its registration.
+	Kept bool
+}
+
+// Removal is the removal of an endpoint that was kept after its registration had ended.
+type Removal struct {
+	// ID is the ID of the endpoint.
+	ID string
+	// Kept is the time for which the endpoint was kept.
+	Kept time.Duration
 }
 
 // Roster holds the endpoints of all services; Usable, UsableCount and Age take no lock.
@@ -103,9 +113,9 @@
 	mu sync.Mutex
 	// byID holds the registered endpoints, and those that are missing, by ID.
 	byID map[string]*Endpoint
-	// missing holds the IDs of endpoints that are kept although their registration ended. It may have expired only because heartbeats did not
-	// reach the store during an outage.
-	missing map[string]bool
+	// missing holds the endpoints that are kept although their registration ended, by ID, and the time at which that was read. The registration
+	// may have expired only because heartbeats did not reach the store during an outage.
+	missing map[string]time.Duration
 	// latest holds the newest version by ID, also of removed endpoints. An older registration that arrives late then does not add the endpoint
 	// again.
 	latest map[string]version
@@ -126,7 +136,7 @@
 
 // New returns a roster without endpoints.
 func New() *Roster {
-	ro := &Roster{byID: map[string]*Endpoint{}, missing: map[string]bool{}, latest: map[string]version{}, left: map[string]bool{}}
+	ro := &Roster{byID: map[string]*Endpoint{}, missing: map[string]time.Duration{}, latest: map[string]version{}, left: map[string]bool{}}
 	ro.publish()
 	return ro
 }
@@ -175,8 +185,8 @@
 }
 
 // ReadSucceeded is called when the store was read. It removes the endpoints whose registrations are missing, unless the store recovered from
-// an outage within the last recoveryGrace.
-func (ro *Roster) ReadSucceeded(now time.Duration) {
+// an outage within the last recoveryGrace, and returns those that it removed.
+func (ro *Roster) ReadSucceeded(now time.Duration) []Removal {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 	if ro.unreachable && ro.readStale(now) {
@@ -185,13 +195,16 @@
 	ro.unreachable = false
 	ro.lastRead.Store(int64(now))
 	if ro.expiryUncertain(now) || len(ro.missing) == 0 {
-		return
+		return nil
 	}
-	for id := range ro.missing {
+	var list []Removal
+	for id, since := range ro.missing {
 		delete(ro.byID, id)
+		list = append(list, Removal{ID: id, Kept: now - since})
 	}
 	clear(ro.missing)
 	ro.publish()
+	return list
 }
 
 // StoreRestored is called when the store has come back from an older copy, before its content is passed to Replace. Endpoints that registered since
@@ -202,18 +215,25 @@
 	ro.recoveredAt = now
 }
 
-// Apply applies changes in the given order, which is the order in the store. It returns those that add, remove or change an endpoint; a mere
-// renewal of a registration is not returned.
+// Apply applies changes in the given order, which is the order in the store. It returns those that add, remove or change an endpoint, or after
+// which an endpoint is missing; a mere renewal of a registration is not returned.
 func (ro *Roster) Apply(now time.Duration, list []Change) []Change {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 	var relevant []Change
+	publish := false
 	for _, ch := range list {
-		if ro.applyOne(now, ch) {
+		switch ro.applyOne(now, ch) {
+		case unchanged:
+		case nowMissing:
+			ch.Kept = true
+			relevant = append(relevant, ch)
+		case changed:
+			publish = true
 			relevant = append(relevant, ch)
 		}
 	}
-	if len(relevant) > 0 {
+	if publish {
 		ro.publish()
 	}
 	return relevant
@@ -236,13 +256,25 @@
 	return ro.Apply(now, list)
 }
 
-// applyOne applies one change and reports whether it is relevant to placement.
-func (ro *Roster) applyOne(now time.Duration, ch Change) bool {
+// effect is what a change does to the endpoints.
+type effect int
+
+const (
+	// unchanged leaves placement as it is.
+	unchanged effect = iota
+	// nowMissing keeps an endpoint whose registration ended.
+	nowMissing
+	// changed adds, removes or changes an endpoint.
+	changed
+)
+
+// applyOne applies one change and returns its effect.
+func (ro *Roster) applyOne(now time.Duration, ch Change) effect {
 	old, known := ro.byID[ch.ID]
 	if ch.Endpoint != nil {
 		last, ok := ro.latest[ch.ID]
 		if ok && (last.newerThan(ch.Endpoint) || (!known && last.matches(ch.Endpoint))) {
-			return false
+			return unchanged
 		}
 		ro.latest[ch.ID] = version{started: ch.Endpoint.StartedMillis, sequence: ch.Endpoint.Sequence}
 		delete(ro.missing, ch.ID)
@@ -250,34 +282,39 @@
 			delete(ro.left, old.Process())
 		}
 		ro.byID[ch.ID] = ch.Endpoint
-		return !known || !ch.Endpoint.samePlacement(*old)
+		if known && ch.Endpoint.samePlacement(*old) {
+			return unchanged
+		}
+		return changed
 	}
 	if !known {
-		return false
+		return unchanged
 	}
 	if ro.expiryUncertain(now) {
-		ro.missing[ch.ID] = true
-		return false
+		if _, ok := ro.missing[ch.ID]; ok {
+			return unchanged
+		}
+		ro.missing[ch.ID] = now
+		return nowMissing
 	}
 	delete(ro.byID, ch.ID)
-	return true
+	delete(ro.missing, ch.ID)
+	return changed
 }
 
 // expiryUncertain reports whether a registration that ends now may have expired only because the store was unreachable.
 func (ro *Roster) expiryUncertain(now time.Duration) bool {
-	return (ro.unreachable && ro.readStale(now)) || (ro.recoveredAt > 0 && now-ro.recoveredAt < recoveryGrace)
+	return (ro.unreachable && ro.readStale(now)) || ro.inGrace(now)
+}
+
+// inGrace reports whether the store recovered within the last recoveryGrace.
+func (ro *Roster) inGrace(now time.Duration) bool {
+	return ro.recoveredAt > 0 && now-ro.recoveredAt < recoveryGrace
 }
 
 // readStale reports whether the last read is so old that registrations of running endpoints may have expired since.
 func (ro *Roster) readStale(now time.Duration) bool { return ro.Age(now) >= minOutage }
 
-// HasMissing reports whether any endpoint is kept although its registration ended, because the endpoint may still renew it.
-func (ro *Roster) HasMissing() bool {
-	ro.mu.Lock()
-	defer ro.mu.Unlock()
-	return len(ro.missing) > 0
-}
-
 // publish makes the current endpoints visible to the methods that take no lock.
 func (ro *Roster) publish() {
 	services := map[string][]*Endpoint{}
