RECOVER: the grants of instances that are lost for good were never taken back

Cause: the whole grant of a silent instance counted as taken for ever, also what it can't use without a further row. Evidence: the refusals of the new instances have a large `left`, no `lost` and a small `granted`. Change: assigned holders lower the grant of a silent instance to what its last row lets it use, by a row in its stead, after 6 s (15 s if little is held) of reading the topic all the time. A cut-off instance reads that row before it can append. The highest ceiling follows the demand (25 s of it, 15 to 60 in 100 of the unused grant; before: 60), so that less stays with a lost one. Why it is safe: a row is appended only at the offset up to which its writer has read.

--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -130,6 +130,7 @@
 		gs.recordAnnouncement()
 		gs.quota.Confirm(cf.Clock(), ba)
 		cf.Logger.Info("grants", "shard", gs.partition, "offset", gs.view.Next(), "era", gs.view.Era().Number(), "rows", ba.Summary())
+		gs.logReclaims(ba.Reclaims)
 		return grantInterval
 	case errors.Is(err, keyed.ErrConflict):
 		gs.quota.Discard(ba)
@@ -160,6 +161,17 @@
 	}
 }
 
+// logReclaims logs what was taken back from silent instances.
+func (gs *grantSync) logReclaims(list []quota.Reclaim) {
+	if len(list) == 0 {
+		return
+	}
+	for _, re := range list {
+		gs.edge.metrics.Counter(fmt.Sprintf("weir_tokens_taken_back_total{team=%q}", re.Team)).AddInt64(re.Tokens)
+	}
+	gs.edge.config.Logger.Info("grants taken back", "shard", gs.partition, "offset", gs.view.Next(), "era", gs.view.Era().Number(), "grants", list)
+}
+
 // read reads the rows of other instances.
 func (gs *grantSync) read(ctx context.Context) error {
 	started := gs.edge.config.Clock()
--- a/pkg/quota/build.go
+++ b/pkg/quota/build.go
@@ -29,9 +29,12 @@
 	// team loses when all instances are killed and restart within ceilingDelay. With 4.5 percent, TestReplay refuses too many requests in an
 	// outage of the store.
 	maxLossPercent = 5
-	// maxCeilingPercent bounds the ceiling of a row: MaxCeiling = used + max(slack, (granted - used) * maxCeilingPercent / 100), with the
-	// tokens used when the row is built. The part of a grant above the ceiling is never written off, so the team keeps it even if the
-	// instance that holds the grant is down for long.
+	// silentSpan, minCeilingPercent and maxCeilingPercent set the highest ceiling of a row, which an instance can reach without a further row:
+	// MaxCeiling = used + demand * silentSpan, but at least the slack and minCeilingPercent and at most maxCeilingPercent of the unused grant, with the
+	// tokens used when the row is built. It covers a long outage of the store. What is above it is never written off and can be taken back, so the
+	// team keeps it even if the instance that holds the grant is lost for good.
+	silentSpan        = 25 * time.Second
+	minCeilingPercent = 15
 	maxCeilingPercent = 60
 	// slackRequests is the number of requests of average size that the slack covers in addition to the demand.
 	slackRequests = 2
@@ -69,6 +72,8 @@
 type Batch struct {
 	// Records are the encoded rows.
 	Records []keyed.Record
+	// Reclaims are the grants of silent instances that the rows lower.
+	Reclaims []Reclaim
 	// teams and built are the teams of the rows and the rows themselves, in the order of Records.
 	teams []string
 	built []builtRow
@@ -113,7 +118,7 @@
 	defer sh.mu.Unlock()
 	var ba Batch
 	stamp := sh.stamp()
-	sh.readAt = now
+	sh.recordRead(now)
 	for _, team := range slices.Sorted(maps.Keys(sh.totals)) {
 		ac := sh.account(team)
 		row := sh.nextRow(ac, now, stamp)
@@ -130,6 +135,9 @@
 		ba.teams = append(ba.teams, team)
 		ba.built = append(ba.built, br)
 	}
+	if err := sh.addReclaims(&ba, now); err != nil {
+		return Batch{}, err
+	}
 	if len(ba.Records) == 0 && !sh.restatementDue(now) {
 		return ba, nil
 	}
@@ -150,7 +158,7 @@
 			return true
 		}
 	}
-	return sh.restatementDue(now)
+	return sh.restatementDue(now) || len(sh.reclaims(now)) > 0
 }
 
 // Confirm puts the rows of a batch in force. It is called after they were appended at the expected offset.
@@ -166,6 +174,7 @@
 		sh.setRow(team, sh.config.Instance, seenRow{row: br.row, seenAt: now})
 		ac.notify()
 	}
+	sh.confirmReclaims(now, ba.Reclaims)
 }
 
 // Discard drops the pending rows of a batch. It is called when they were not appended and can no longer be.
@@ -193,8 +202,9 @@
 	slack = min(slack, max(0, granted-ac.used())*maxLossPercent/percent) + ac.waiting
 	slack = max(slack, max(0, granted-ac.used())/idleSlackDivisor)
 	free := max(0, granted-ac.used())
+	silent := min(free*maxCeilingPercent/percent, max(free*minCeilingPercent/percent, tokensIn(demand, silentSpan)))
 	return sh.withBalance(ac, now, Row{
-		MaxCeiling: ac.used() + max(slack, free*maxCeilingPercent/percent),
+		MaxCeiling: ac.used() + max(slack, silent),
 		Granted:    granted, Base: ac.used() + slack, Rate: rate, Delay: ceilingDelay,
 		Spent: ac.totalSpent(), WrittenOff: ac.writtenOff, Demand: demand,
 		BurstRate: demand * burstRatePercent / percent, BurstDelay: burstDelay, Need: ac.waiting,
--- a/pkg/quota/property_test.go
+++ b/pkg/quota/property_test.go
@@ -144,6 +144,7 @@
 type testInstance struct {
 	sim         *simulation
 	index       int
+	name        string
 	incarnation int64
 	// boot is added to the simulated time to give the time since the machine was booted.
 	boot time.Duration
@@ -179,8 +180,9 @@
 // start starts or restarts an instance; boot is added to the simulated time to give the time since the machine was booted.
 func (si *simulation) start(index int, boot time.Duration) {
 	si.incarnations++
-	in := &testInstance{sim: si, index: index, incarnation: si.incarnations, boot: boot}
+	in := &testInstance{sim: si, index: index, name: fmt.Sprint("instance-", index), incarnation: si.incarnations, boot: boot}
 	if old := si.instances[index]; old != nil {
+		in.name = old.name
 		in.wall, in.maxWall = old.wall, old.maxWall
 		if boot != old.boot {
 			// The time of day is not set back across a loss of power.
@@ -188,13 +190,30 @@
 		}
 	}
 	stamp := func() Stamp { return Stamp{Wall: time.UnixMilli(0).Add(si.now + in.wall), Boot: in.boot + si.now} }
-	in.shard = New(Config{Instance: fmt.Sprint("instance-", index), Incarnation: in.incarnation, FirstStart: in.incarnation <= int64(len(si.instances))}, si.now, stamp)
+	in.shard = New(Config{Instance: in.name, Incarnation: in.incarnation, FirstStart: in.incarnation <= int64(len(si.instances))}, si.now, stamp)
 	in.view = keyed.NewView(topicClient{topic: si.topic, instance: index}, in)
 	in.shard.SetTotals(map[string]int64{testTeam: si.total})
 	in.shard.SetMembers(si.members)
 	si.instances[index] = in
 }
 
+// replace loses an instance for good and starts another one, with another name, in its place.
+func (si *simulation) replace(index int) {
+	old := si.instances[index]
+	old.name = fmt.Sprint("replacement-", si.incarnations)
+	si.start(index, old.boot)
+}
+
+// silence lets time pass in which all instances that reach the topic read it, so that tokens are taken back from those that do not.
+func (si *simulation) silence(tt *rapid.T, length time.Duration) {
+	for ends := si.now + length; si.now < ends; {
+		si.now += stepTime
+		for _, in := range si.instances {
+			in.step(tt)
+		}
+	}
+}
+
 // step runs one iteration of an instance's loop: it reads the topic and appends the rows that are due.
 func (in *testInstance) step(tt *rapid.T) { in.slowStep(tt, func() {}) }
 
@@ -395,6 +414,10 @@
 			}
 			si.topic.late = nil
 		},
+		"lose": func(tt *rapid.T) { si.replace(index.Draw(tt, "who")) },
+		"silence": func(tt *rapid.T) {
+			si.silence(tt, time.Duration(rapid.IntRange(5, 17).Draw(tt, "seconds"))*time.Second)
+		},
 		"cut": func(tt *rapid.T) {
 			si.topic.unreachable[index.Draw(tt, "who")] = rapid.IntRange(0, 3).Draw(tt, "cut") == 0
 		},
--- a/pkg/quota/read.go
+++ b/pkg/quota/read.go
@@ -72,8 +72,11 @@
 		// An append of an earlier era was executed late.
 		sh.lost[id] = known.row
 		return
+	case ok && row.isLowered(known.row):
+		// The instance itself has written nothing.
+		sh.setRow(id.team, id.instance, seenRow{row: row, seenAt: known.seenAt, inactive: known.inactive})
 	case !ok || known.row != row:
-		sh.setRow(id.team, id.instance, seenRow{row: row, seenAt: now})
+		sh.setRow(id.team, id.instance, seenRow{row: row, seenAt: sh.seenAt(now, row)})
 	}
 	delete(sh.lost, id)
 	if id.instance == sh.config.Instance {
@@ -95,7 +98,7 @@
 // If the row is no longer pending, the time at which it was built is unknown. It then counts as built now, which gives the lowest ceiling.
 func (sh *Shard) applyOwn(now time.Duration, team string, row Row) {
 	ac := sh.account(team)
-	if row.Incarnation != sh.config.Incarnation || (ac.inForce != nil && ac.inForce.row == row) {
+	if row.Incarnation != sh.config.Incarnation || (ac.inForce != nil && ac.inForce.row == row) || ac.adoptLowered(row) {
 		return
 	}
 	ix := slices.IndexFunc(ac.pending, func(br builtRow) bool { return br.row == row })
--- a/pkg/quota/restored.go
+++ b/pkg/quota/restored.go
@@ -112,13 +112,13 @@
 // which it, or another witness, knew them from the era before. The caller has set the new era.
 func (sh *Shard) rememberCertain(now time.Duration) {
 	if now-sh.readAt > maxWitnessAge {
-		clear(sh.known)
+		clear(sh.remembered)
 		return
 	}
 	for _, list := range []map[string]statement{sh.statements, sh.witnesses} {
 		for instance, st := range list {
 			if st.Era == int64(sh.formerEra) {
-				sh.known[instance] = true
+				sh.remembered[instance] = true
 			}
 		}
 	}
@@ -293,7 +293,7 @@
 // them at the end of the one before.
 func (sh *Shard) dueWitnesses() map[string]statement {
 	due := map[string]statement{}
-	for instance := range sh.known {
+	for instance := range sh.remembered {
 		if instance != sh.config.Instance && sh.statements[instance].Era != int64(sh.era) && sh.witnesses[instance].Era != int64(sh.era) {
 			due[instance] = statement{Era: int64(sh.era), Incarnation: sh.statements[instance].Incarnation}
 		}
--- a/pkg/quota/shard.go
+++ b/pkg/quota/shard.go
@@ -68,6 +68,8 @@
 	loadedAt time.Duration
 	// readAt is the time at which this instance last built rows, for which it had read the topic to its end.
 	readAt time.Duration
+	// readingSince is the time since which the topic was read without a longer gap than maxReadGap.
+	readingSince time.Duration
 	// members are the names of all instances that have announced themselves.
 	members []string
 	// rankings caches the results of ranking, by team.
@@ -80,8 +82,8 @@
 	restoredAt time.Duration
 	// formerEra is the era before the last return of the store that this instance noticed.
 	formerEra keyed.Era
-	// known holds the instances whose newest rows this instance knew when the store last came back.
-	known map[string]bool
+	// remembered holds the instances whose newest rows this instance knew when the store last came back.
+	remembered map[string]bool
 	// statements are those in the topic, and witnesses the witness records, by instance.
 	statements map[string]statement
 	witnesses  map[string]statement
@@ -103,7 +105,7 @@
 	return &Shard{
 		config: config, rows: map[string]map[string]seenRow{}, accounts: map[string]*account{},
 		totals: map[string]int64{}, stamp: stamp, started: now, startStamp: stamp(), urgent: make(chan struct{}, 1),
-		statements: map[string]statement{}, witnesses: map[string]statement{}, known: map[string]bool{}, lost: map[rowID]Row{}, found: map[string]bool{},
+		statements: map[string]statement{}, witnesses: map[string]statement{}, remembered: map[string]bool{}, lost: map[rowID]Row{}, found: map[string]bool{},
 		ahead: newAheadQueue(), rankings: map[string][]string{},
 	}
 }
