--- a/pkg/quota/reclaim.go
+++ b/pkg/quota/reclaim.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 	"time"
-
 )
 
 const (
