--- a/spec/quota.pml
+++ b/spec/quota.pml
@@ -8,9 +8,11 @@
  * is negative if an instance received more tokens from the other one than it used; a row with such a grant returns the
  * rest to the pool. Time is left out: a ceiling is any number between the use and the grant.
  *
+ * Either instance may lower the other's grant to its ceiling, as is done with the grants of silent instances.
+ *
  * Checked: all incarnations of all instances together never spend more than the total.
  *
- * Mutations (-D): M_CONDITION, M_PENDING, M_RETURNED, M_DEBIT, M_CEILING, M_INHERIT.
+ * Mutations (-D): M_CONDITION, M_PENDING, M_RETURNED, M_DEBIT, M_CEILING, M_INHERIT, M_LOWER.
  */
 #define INSTANCES 2
 #define TOTAL 2
@@ -131,6 +133,14 @@
        :: used[OTHER(h)]--
        :: skip
        fi }
+  /* Lowers the grant of the other instance, by the row in its stead, to what that one can use without a further row. */
+  :: atomic { writer[OTHER(h)] != 0 && granted[OTHER(h)] > ceiling[OTHER(h)] && tail < MAXOFFSET ->
+#ifdef M_LOWER
+       granted[OTHER(h)] = ceiling[OTHER(h)] - 1;
+#else
+       granted[OTHER(h)] = ceiling[OTHER(h)];
+#endif
+       tail++ }
   /* The process crashes and restarts as a new incarnation; an append in flight may still be executed. */
   :: atomic { deaths < MAXDEATHS ->
        deaths++; life[h]++; held[h] = false; heldGranted[h] = 0; heldCeiling[h] = 0; pending[h] = false; pendGranted[h] = 0;
