RECOVER: all budgets were written off when all instances were killed at a return of the store

Cause: nothing bounded what rows that the store has lost may have granted, so an outdated row took over all of the total that the others did not hold. Evidence: `grants taken over` states it for each instance. Change: all grants of a team stay within a pool (what is stated as spent and 80 in 100 of the rest) as every copy of the store has it; an outdated row takes over what the others do not hold of the pool. A top-up and a first start are usable at once. Setting store.copyAge (6 s). Why it is safe: the copy has at least the pool from which the lost rows were granted, since that one was read store.copyAge before. Tests: TestTokensAfterKillsAtReturn failed before (0 of 1,525,000 tokens); TestSpentBeforeKillsAtReturn overspends without the pool (803 of 800).

--- a/internal/config/edge.go
+++ b/internal/config/edge.go
@@ -15,6 +15,8 @@
 	PeerAddress string
 	// StoreAddress is the address of the platform's store.
 	StoreAddress string
+	// CopyAge is the maximum age of a copy from which the store may come back, zero if it never loses anything.
+	CopyAge time.Duration
 	// FirstStart reports whether the whole fleet starts for the first time, so that the store has lost nothing of it.
 	FirstStart bool
 	// Grace is the time between SIGTERM and the end of the process.
@@ -48,6 +50,7 @@
 	{"instance", "cpuCores", decimal, "0", false, 0, "Processor time that the process may use, in cores; with 0, requests are not refused because it is used up.", func(se *Settings) any { return &se.Edge.CPUCores }},
 	{"instance", "linkMegabits", decimal, "0", false, 0, "Rate of the machine's link in megabits a second; with 0, requests are not refused because it is full.", func(se *Settings) any { return &se.Edge.LinkMegabits }},
 	{"store", "address", listenAddress, "", true, 0, "IP and port of the platform's metadata store.", func(se *Settings) any { return &se.Edge.StoreAddress }},
+	{"store", "copyAge", duration, "6s", false, 0, "Maximum age of a copy from which the store may come back; 0s if it never loses anything.", func(se *Settings) any { return &se.Edge.CopyAge }},
 	{"retry", "ratio", decimal, "0.2", false, 0, "Largest ratio of retries to requests of a service, over the whole fleet.", func(se *Settings) any { return &se.Edge.RetryRatio }},
 	{"retry", "headroom", number, "50", false, 0, "Retries of a service that are allowed in a window beyond the ratio, over the whole fleet.", func(se *Settings) any { return &se.Edge.RetryHeadroom }},
 	{"retry", "window", duration, "10s", false, minDuration, "Sliding window in which retries are counted.", func(se *Settings) any { return &se.Edge.RetryWindow }},
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -141,7 +141,7 @@
 	incarnation := cf.Stamp().Wall.UnixNano()
 	ed := &Edge{
 		config: cf, roster: roster.New(), balancer: place.NewBalancer(), metrics: gate.NewMetrics(),
-		quotas:      quota.NewSet(grantShards, quota.Config{Instance: cf.Settings.Name, Incarnation: incarnation, FirstStart: cf.Settings.FirstStart, DiscoverySpan: discoverySpan}, now, cf.Stamp),
+		quotas:      quota.NewSet(grantShards, quota.Config{Instance: cf.Settings.Name, Incarnation: incarnation, FirstStart: cf.Settings.FirstStart, CopyAge: cf.Settings.CopyAge, DiscoverySpan: discoverySpan}, now, cf.Stamp),
 		retryBudget: retry.New(retryConfig(cf.Settings), now),
 		turns:       turn.New(),
 	}
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -32,6 +32,10 @@
 	inherited    bool
 	// inheritedNetLent is the part of inheritedUse that earlier incarnations lent, less what they received. It is negative if they received more.
 	inheritedNetLent int64
+	// poolReads are reads of the topic, the oldest first: the newest of which every copy of the store has the records, and those after it.
+	poolReads []poolRead
+	// loaded is what the first snapshot said. Rows that take over others later do not count.
+	loaded poolRead
 	// reserved is the sum of the reservations of requests in flight.
 	reserved int64
 	// writtenOff is the part of totalSpent that counts as spent although it is unknown whether earlier incarnations spent it.
--- a/pkg/quota/build.go
+++ b/pkg/quota/build.go
@@ -74,6 +74,8 @@
 	Records []keyed.Record
 	// Reclaims are the grants of silent instances that the rows lower.
 	Reclaims []Reclaim
+	// pools are the records of pools.
+	pools []keyed.Record
 	// teams and built are the teams of the rows and the rows themselves, in the order of Records.
 	teams []string
 	built []builtRow
@@ -135,6 +137,9 @@
 		ba.teams = append(ba.teams, team)
 		ba.built = append(ba.built, br)
 	}
+	if err := sh.addPools(&ba, now); err != nil {
+		return Batch{}, err
+	}
 	if err := sh.addReclaims(&ba, now); err != nil {
 		return Batch{}, err
 	}
@@ -157,6 +162,9 @@
 		if sh.due(ac, sh.nextRow(ac, now, stamp), now) {
 			return true
 		}
+		if sh.poolDue(ac, sh.nextPool(ac, now)) {
+			return true
+		}
 	}
 	return sh.restatementDue(now) || len(sh.reclaims(now)) > 0
 }
@@ -174,6 +182,7 @@
 		sh.setRow(team, sh.config.Instance, seenRow{row: br.row, seenAt: now})
 		ac.notify()
 	}
+	sh.applyPools(ba.pools)
 	sh.confirmReclaims(now, ba.Reclaims)
 }
 
@@ -202,7 +211,7 @@
 	slack = min(slack, max(0, granted-ac.used())*maxLossPercent/percent) + ac.waiting
 	slack = max(slack, max(0, granted-ac.used())/idleSlackDivisor)
 	free := max(0, granted-ac.used())
-	silent := min(free*maxCeilingPercent/percent, max(free*minCeilingPercent/percent, tokensIn(demand, silentSpan)))
+	silent := min(free*sh.ceilingPercent(ac, now)/percent, max(free*minCeilingPercent/percent, tokensIn(demand, silentSpan)))
 	return sh.withBalance(ac, now, Row{
 		MaxCeiling: ac.used() + max(slack, silent),
 		Granted:    granted, Base: ac.used() + slack, Rate: rate, Delay: ceilingDelay,
@@ -293,7 +302,7 @@
 	if others+old > total {
 		entitled = used
 	}
-	grant := max(used, min(entitled, total-others))
+	grant := max(used, min(entitled, total-others, sh.poolCopied(ac, now)-others))
 	if old > grant && old-grant < old/toleranceDivisor && sh.needOfOthers(ac.team) == 0 && others+old <= total {
 		return old
 	}
@@ -332,7 +341,7 @@
 		demand += sr.row.Demand
 		remaining -= sr.row.Need
 	}
-	remaining = (remaining - ac.used()) * grantedPercent / percent
+	remaining = (remaining - ac.used()) * sh.sharedPercent(ac, now) / percent
 	if now-sh.started < startupSpan {
 		holders = max(holders, startupHolders)
 	}
--- a/pkg/quota/read.go
+++ b/pkg/quota/read.go
@@ -16,12 +16,14 @@
 	sh.formerEra, sh.era = sh.era, sn.Era
 	if sh.loadedAt == 0 {
 		sh.loadedAt = now
+		defer sh.recordLoaded()
 	}
 	if sn.Restored {
 		sh.restore(now, sn.Records)
 		return
 	}
 	sh.rows = map[string]map[string]seenRow{}
+	clear(sh.pools)
 	sh.apply(now, sn.Records)
 	// The snapshot may be of the time before the lost rows were appended again.
 	for id, row := range sh.lost {
@@ -38,6 +40,7 @@
 }
 
 func (sh *Shard) apply(now time.Duration, list []keyed.Record) {
+	sh.applyPools(list)
 	for _, re := range list {
 		if instance, ok := cutKey(re.Key, statementPrefix); ok {
 			sh.applyStatement(now, instance, re.Value)
--- a/pkg/quota/reclaim.go
+++ b/pkg/quota/reclaim.go
@@ -60,6 +60,7 @@
 		sh.readingSince = now
 	}
 	sh.readAt = now
+	sh.recordPools(now)
 }
 
 // reclaims returns the grants to lower now, ordered by team and instance.
--- a/pkg/quota/restore_test.go
+++ b/pkg/quota/restore_test.go
@@ -222,6 +222,7 @@
 					in.shard.Confirm(si.now, ba)
 				}
 			}
+			si.knowEachOther()
 			for range 25 {
 				round(si.instances)
 			}
--- a/pkg/quota/restored.go
+++ b/pkg/quota/restored.go
@@ -78,9 +78,11 @@
 	}
 	sh.restoredAt = now
 	sh.rememberCertain(now)
+	sh.forgetPools()
 	sh.rows = map[string]map[string]seenRow{}
 	sh.statements, sh.witnesses = map[string]statement{}, map[string]statement{}
 	sh.lost = map[rowID]Row{}
+	clear(sh.pools)
 	sh.apply(now, list)
 	for team, rows := range known {
 		for instance, sr := range rows {
@@ -197,12 +199,12 @@
 // witnessed reports whether an instance that was up when the store returned knew the rows of an earlier incarnation of this instance.
 func (sh *Shard) witnessed() bool { return sh.witnesses[sh.config.Instance].Era == int64(sh.era) }
 
-// outdatedUse returns what an earlier incarnation may have used if its row is outdated: all that the other instances do not hold. Later rows may have raised
-// its grant and its ceiling, also beyond the rates of the row, since a ceiling is raised for requests that wait; and what it appended after the last read of
-// the others is known to nobody.
+// outdatedUse returns what an earlier incarnation may have used if its row is outdated: all of the pool that the other instances do not hold. Later rows may
+// have raised its grant and its ceiling, also beyond the rates of the row, since a ceiling is raised for requests that wait; and what it appended after the
+// last read of the others is known to nobody.
 func (sh *Shard) outdatedUse(team string, row Row) int64 {
 	others := sh.sumGranted(team) - row.Granted
-	return max(row.Granted, sh.totals[team]-others)
+	return max(row.Granted, sh.poolLoaded(team)-others)
 }
 
 // Takeover is what this instance takes over from its earlier incarnations for one team, in tokens.
--- a/pkg/quota/shard.go
+++ b/pkg/quota/shard.go
@@ -19,6 +19,8 @@
 	Incarnation int64
 	// FirstStart reports whether no instance has run before, so that there are no rows which the store may have lost.
 	FirstStart bool
+	// CopyAge is the maximum age of a copy from which the store comes back, zero if it never loses anything.
+	CopyAge time.Duration
 	// DiscoverySpan is the time after the start in which this instance might not know all others; see discovering.
 	DiscoverySpan time.Duration
 }
@@ -84,6 +86,8 @@
 	formerEra keyed.Era
 	// remembered holds the instances whose newest rows this instance knew when the store last came back.
 	remembered map[string]bool
+	// pools are the records of the pools in the topic, by team.
+	pools map[string]pool
 	// statements are those in the topic, and witnesses the witness records, by instance.
 	statements map[string]statement
 	witnesses  map[string]statement
@@ -105,7 +109,7 @@
 	return &Shard{
 		config: config, rows: map[string]map[string]seenRow{}, accounts: map[string]*account{},
 		totals: map[string]int64{}, stamp: stamp, started: now, startStamp: stamp(), urgent: make(chan struct{}, 1),
-		statements: map[string]statement{}, witnesses: map[string]statement{}, remembered: map[string]bool{}, lost: map[rowID]Row{}, found: map[string]bool{},
+		pools: map[string]pool{}, statements: map[string]statement{}, witnesses: map[string]statement{}, remembered: map[string]bool{}, lost: map[rowID]Row{}, found: map[string]bool{},
 		ahead: newAheadQueue(), rankings: map[string][]string{},
 	}
 }
