ORDER: a resumed stream ended as complete, or held text, when the next endpoint sent no event

Cause: the check of a resumption began at its first event; a proper end and text before it were relayed. Change: until the first event, other text or a proper end fails the attempt, unless the stream has all events that the request may have. Tests: TestFailureWhileStreamIsResumed failed before, directly and through a peer, and passes.

--- a/internal/events/reader.go
+++ b/internal/events/reader.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 
 	"github.com/rotisserie/eris"
@@ -32,6 +33,8 @@
 	emptyLineCR = []byte("\n\r\n")
 	idField     = []byte("id:")
 	dataField   = []byte("data")
+	// controlFields begin the lines of events without data: comments, and the fields that the format defines.
+	controlFields = [][]byte{[]byte(":"), []byte("event"), []byte("id"), []byte("retry")}
 )
 
 // Memory counts the bytes that readers buffer.
@@ -140,6 +143,23 @@
 	return false
 }
 
+// IsControl reports whether an event without data consists of comments and known fields only. Other text, such as that of an error, is no part of a stream.
+func IsControl(event []byte) bool {
+	for len(event) > 0 {
+		line, rest, _ := bytes.Cut(event, newline)
+		event = rest
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		known := slices.ContainsFunc(controlFields, func(field []byte) bool {
+			after, ok := bytes.CutPrefix(line, field)
+			return ok && (field[0] == ':' || len(after) == 0 || after[0] == ':')
+		})
+		if len(line) > 0 && !known {
+			return false
+		}
+	}
+	return true
+}
+
 // ID returns the numeric id of an event, and false if it has none.
 func ID(event []byte) (int64, bool) {
 	for len(event) > 0 {
--- a/internal/gate/response.go
+++ b/internal/gate/response.go
@@ -130,12 +130,21 @@
 	for {
 		pr.updateCost(fw.eventCount)
 		data, err := rd.Next()
+		if errors.Is(err, io.EOF) && resumed && max(fw.eventCount, fw.lastEventID) < pr.maxEvents() {
+			return place.Failed, fault.New(fault.Upstream, fault.Ran, "the endpoint resumed the stream without an event")
+		}
 		if errors.Is(err, io.EOF) && (received > 0 || ex.Framed()) {
 			return fw.endStream(ex)
 		}
 		if err != nil {
 			return fw.breakOff(de, err, "the stream broke off")
 		}
+		if resumed && !events.HasData(data) {
+			if !events.IsControl(data) {
+				return place.Failed, fault.New(fault.Upstream, fault.Ran, "the endpoint resumed the stream with text that is no event")
+			}
+			continue
+		}
 		if !events.HasData(data) {
 			if err := fw.relayComment(ex, data); err != nil {
 				return place.Canceled, fault.Wrap(err, fault.Canceled, fault.Ran, "the caller left")
