--- a/internal/gate/response.go
+++ b/internal/gate/response.go
@@ -130,7 +130,7 @@
 	for {
 		pr.updateCost(fw.eventCount)
 		data, err := rd.Next()
-		if errors.Is(err, io.EOF) && resumed && max(fw.eventCount, fw.lastEventID) < pr.maxEvents() {
+		if resumed && fw.lacksEvents(err) {
 			return place.Failed, fault.New(fault.Upstream, fault.Ran, "the endpoint resumed the stream without an event")
 		}
 		if errors.Is(err, io.EOF) && (received > 0 || ex.Framed()) {
@@ -139,11 +139,15 @@
 		if err != nil {
 			return fw.breakOff(de, err, "the stream broke off")
 		}
-		if resumed && !events.HasData(data) {
-			if !events.IsControl(data) {
-				return place.Failed, fault.New(fault.Upstream, fault.Ran, "the endpoint resumed the stream with text that is no event")
+		if resumed {
+			skip, err := fw.checkResumed(data)
+			if err != nil {
+				return place.Failed, err
 			}
-			continue
+			if skip {
+				continue
+			}
+			resumed = false
 		}
 		if !events.HasData(data) {
 			if err := fw.relayComment(ex, data); err != nil {
@@ -154,21 +158,44 @@
 		received++
 		pr.recordEvent(at, received)
 		watch.reset(fw.eventTimeout())
-		id, ok := events.ID(data)
-		if resumed && (!ok || id != fw.lastEventID+1) {
-			return place.Failed, fault.New(fault.Upstream, fault.Ran, "the endpoint resumed the stream at the wrong event")
-		}
-		resumed = false
-		if fw.eventCount >= pr.maxEvents() {
-			return place.Failed, fault.New(fault.Upstream, fault.Ran, "the endpoint sent more events than the request may have")
-		}
-		if ok {
-			fw.lastEventID = id
+		if out, err := fw.relayData(ex, data, !rd.Buffered()); err != nil {
+			return out, err
 		}
-		if err := fw.relayEvent(ex, data, !rd.Buffered()); err != nil {
-			return place.Canceled, fault.Wrap(err, fault.Canceled, fault.Ran, "the caller left")
+	}
+}
+
+// relayData relays an event with data, unless the request may have no more of them.
+func (fw *forwarder) relayData(ex *conns.Exchange, data []byte, flush bool) (place.Outcome, error) {
+	if fw.eventCount >= fw.request.maxEvents() {
+		return place.Failed, fault.New(fault.Upstream, fault.Ran, "the endpoint sent more events than the request may have")
+	}
+	if id, ok := events.ID(data); ok {
+		fw.lastEventID = id
+	}
+	if err := fw.relayEvent(ex, data, flush); err != nil {
+		return place.Canceled, fault.Wrap(err, fault.Canceled, fault.Ran, "the caller left")
+	}
+	return place.Answered, nil
+}
+
+// lacksEvents reports whether the stream has ended by this error although the request may have more events.
+func (fw *forwarder) lacksEvents(err error) bool {
+	return errors.Is(err, io.EOF) && max(fw.eventCount, fw.lastEventID) < fw.request.maxEvents()
+}
+
+// checkResumed checks what an endpoint sends first when it resumes a stream. skip is set for a comment, which is not relayed: nothing shows yet that the
+// endpoint goes on with the stream.
+func (fw *forwarder) checkResumed(data []byte) (skip bool, err error) {
+	if !events.HasData(data) {
+		if !events.IsControl(data) {
+			return false, fault.New(fault.Upstream, fault.Ran, "the endpoint resumed the stream with text that is no event")
 		}
+		return true, nil
+	}
+	if id, ok := events.ID(data); !ok || id != fw.lastEventID+1 {
+		return false, fault.New(fault.Upstream, fault.Ran, "the endpoint resumed the stream at the wrong event")
 	}
+	return false, nil
 }
 
 // endStream finishes the response after the endpoint has ended the stream.
--- a/internal/soak/broken_head_test.go
+++ b/internal/soak/broken_head_test.go
@@ -74,8 +74,7 @@
 	for ix := range 2 {
 		id := fmt.Sprint(name, "-", ix)
 		fp.ids = append(fp.ids, id)
-		var re *rawEndpoint
-		re = wo.addRaw(id, service, func(nc net.Conn, rq *http.Request, number int) bool {
+		re := wo.addRaw(id, service, func(nc net.Conn, rq *http.Request, number int) bool {
 			if rq.Method != http.MethodPost {
 				_, err := io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 				return err == nil
