Mesh: a peer whose call was canceled by the caller went into backoff

Cause: both holders of an origin are asked at once; the first answer cancels the other call, which counted as no response: the peer was asked for nothing for two seconds. Evidence: where the origin was looked for, two of three peers were in backoff. Change: a call whose context has ended does not put the peer into backoff.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -259,15 +259,15 @@
 	return len(first) + 1
 }
 
-// tryPeers calls the peers in turn until a call succeeds or fails conclusively. Peers that do not respond go into backoff. wait is the time
-// that the store may wait for records; it is added to the timeout of each call.
+// tryPeers calls the peers in turn until a call succeeds or fails conclusively. Peers that do not respond go into backoff, unless the context has ended before
+// the call timed out. wait is the time that the store may wait for records; it is added to the timeout of each call.
 func (me *Mesh) tryPeers(ctx context.Context, list []*peer, wait time.Duration, call func(ctx context.Context, pe *peer) error) error {
 	last := ErrNoPeer
 	for _, pe := range list {
 		cctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
 		err := call(cctx, pe)
 		cancel()
-		if !responded(err) {
+		if !responded(err) && ctx.Err() == nil {
 			me.backOff(pe)
 		}
 		err = decodeError(err)
