--- a/pkg/quota/build.go
+++ b/pkg/quota/build.go
@@ -162,7 +162,7 @@
 		if sh.due(ac, sh.nextRow(ac, now, stamp), now) {
 			return true
 		}
-		if sh.poolDue(ac, sh.nextPool(ac, now)) {
+		if _, due := sh.duePool(ac, now); due {
 			return true
 		}
 	}
--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -154,7 +154,16 @@
 	return sum
 }
 
-// nextPool returns the record of a team's pool that this instance would append now.
+// duePool returns the record of a team's pool that this instance should append now, and false if there is none.
+func (sh *Shard) duePool(ac *account, now time.Duration) (pool, bool) {
+	if !sh.mayLoseRows() || sh.closing || ac.inForce == nil {
+		return pool{}, false
+	}
+	next, stored := sh.nextPool(ac, now), sh.pools[ac.team]
+	return next, next.Wide != stored.Wide || next.Copied != stored.Copied || next.Spent-stored.Spent > sh.totals[ac.team]/poolDivisor
+}
+
+// nextPool returns the record of a team's pool as this instance would write it now.
 //
 // What is granted from a wide pool must never exceed one that a copy has as narrow. So a wide pool is used only when every copy has it as wide, and it becomes
 // narrow only when the grants in the topic fit into a narrow one, and all rows are known to be the newest ones.
@@ -169,21 +178,11 @@
 	return pool{Spent: spent, Wide: true, Copied: sh.isWide(ac, now)}
 }
 
-// poolDue reports whether the record of a pool should be appended.
-func (sh *Shard) poolDue(ac *account, next pool) bool {
-	if !sh.mayLoseRows() || sh.closing || ac.inForce == nil {
-		return false
-	}
-	stored := sh.pools[ac.team]
-	return next.Wide != stored.Wide || next.Copied != stored.Copied || next.Spent-stored.Spent > sh.totals[ac.team]/poolDivisor
-}
-
 // addPools adds the records of pools that are due to a batch.
 func (sh *Shard) addPools(ba *Batch, now time.Duration) error {
 	for _, team := range slices.Sorted(maps.Keys(sh.totals)) {
-		ac := sh.account(team)
-		next := sh.nextPool(ac, now)
-		if !sh.poolDue(ac, next) {
+		next, due := sh.duePool(sh.account(team), now)
+		if !due {
 			continue
 		}
 		data, err := record.Marshal(next)
