--- a/pkg/quota/property_test.go
+++ b/pkg/quota/property_test.go
@@ -227,7 +227,7 @@
 }
 
 // silence lets time pass in which all instances that reach the topic read it, so that tokens are taken back from those that do not.
-func (si *simulation) silence(tt *rapid.T, length time.Duration) {
+func (si *simulation) silence(tt tester, length time.Duration) {
 	for ends := si.now + length; si.now < ends; {
 		si.now += stepTime
 		for _, in := range si.instances {
@@ -236,11 +236,17 @@
 	}
 }
 
+// tester is a test, or one run of a property.
+type tester interface {
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // step runs one iteration of an instance's loop: it reads the topic and appends the rows that are due.
-func (in *testInstance) step(tt *rapid.T) { in.slowStep(tt, func() {}) }
+func (in *testInstance) step(tt tester) { in.slowStep(tt, func() {}) }
 
 // slowStep is like step, and calls meanwhile between building the rows and appending them.
-func (in *testInstance) slowStep(tt *rapid.T, meanwhile func()) {
+func (in *testInstance) slowStep(tt tester, meanwhile func()) {
 	if in.view.Poll(context.Background(), 0) != nil {
 		return
 	}
@@ -475,7 +481,7 @@
 
 // check fails the test if the instances have used more than the total, or can use more without a new row, if an instance has a row in force that is
 // not its own, or if one takes tokens for spent that are not: it would refuse requests with Exhausted.
-func (si *simulation) check(tt *rapid.T) {
+func (si *simulation) check(tt tester) {
 	if spendable := si.spendable(); si.used+spendable > si.maxTotal {
 		tt.Fatalf("%d tokens are used and %d more can be reserved, together more than the total of %d", si.used, spendable, si.maxTotal)
 	}
--- a/pkg/quota/reclaim_test.go
+++ b/pkg/quota/reclaim_test.go
@@ -8,7 +8,7 @@
 )
 
 // reserveAll reserves single tokens at all instances until none is left, over some time, and returns their number.
-func (si *simulation) reserveAll(tt *rapid.T, size int64, length time.Duration) int64 {
+func (si *simulation) reserveAll(tt tester, size int64, length time.Duration) int64 {
 	before := si.used
 	for ends := si.now + length; si.now < ends; {
 		si.silence(tt, stepTime)
@@ -52,39 +52,37 @@
 	}
 	for _, tc := range cases {
 		tt.Run(tc.name, func(tt *testing.T) {
-			rapid.Check(tt, func(tt *rapid.T) {
-				si := newCopies(1, testCopyAge)
-				si.total, si.maxTotal = total, total
-				for _, in := range si.instances {
-					in.shard.SetTotals(map[string]int64{testTeam: total})
-				}
-				serve := func() {
-					for range 50 {
-						si.silence(tt, stepTime)
-						for _, in := range si.instances {
-							for range tc.demand {
-								in.reserve(size)
-								in.settle(100)
-							}
+			si := newCopies(1, testCopyAge)
+			si.total, si.maxTotal = total, total
+			for _, in := range si.instances {
+				in.shard.SetTotals(map[string]int64{testTeam: total})
+			}
+			serve := func() {
+				for range 50 {
+					si.silence(tt, stepTime)
+					for _, in := range si.instances {
+						for range tc.demand {
+							in.reserve(size)
+							in.settle(100)
 						}
 					}
 				}
+			}
+			si.knowEachOther()
+			serve()
+			for _, who := range tc.lost {
+				si.replace(who)
 				si.knowEachOther()
-				serve()
-				for _, who := range tc.lost {
-					si.replace(who)
-					si.knowEachOther()
-					if !tc.atOnce {
-						si.silence(tt, longLostSpan+2*time.Second)
-						serve()
-					}
-				}
-				left := total - si.used
-				got := si.reserveAll(tt, size, 60*time.Second)
-				if want := int64(float64(left) * tc.share); got < want {
-					tt.Errorf("%d of the %d tokens that are left can be spent, want at least %d", got, left, want)
+				if !tc.atOnce {
+					si.silence(tt, longLostSpan+2*time.Second)
+					serve()
 				}
-			})
+			}
+			left := total - si.used
+			got := si.reserveAll(tt, size, 60*time.Second)
+			if want := int64(float64(left) * tc.share); got < want {
+				tt.Errorf("%d of the %d tokens that are left can be spent, want at least %d", got, left, want)
+			}
 		})
 	}
 }
