--- a/internal/soak/broken_head_test.go
+++ b/internal/soak/broken_head_test.go
@@ -167,17 +167,7 @@
 	for _, cut := range []bool{false, true} {
 		tt.Run(map[bool]string{false: "directly", true: "through a peer"}[cut], func(tt *testing.T) {
 			tt.Parallel()
-			wo := newWorld(tt, 2, 100_000_000)
-			awaitReady(tt, wo)
-			wo.deregisterOthers()
-			no := wo.nodes[0]
-			wo.await("a stream is served", func() bool {
-				return wo.sendLate(no, lateRequest{id: "first-stream", route: "resume", client: &http.Client{}}).Status == http.StatusOK
-			})
-			wo.deregisterAll(tt, "model")
-			if cut {
-				wo.cut(no, stand.Reset)
-			}
+			wo, no := newRawWorld(tt, "model", cut)
 			for number, ba := range brokenAnswers {
 				wo.playFailure(tt, no, fmt.Sprint("failure-", number), ba.name, func(nc net.Conn, id string) bool {
 					text := ba.text
@@ -277,17 +267,7 @@
 	for _, tc := range cases {
 		tt.Run(tc.name, func(tt *testing.T) {
 			tt.Parallel()
-			wo := newWorld(tt, 2, 100_000_000)
-			awaitReady(tt, wo)
-			wo.deregisterOthers()
-			no := wo.nodes[0]
-			wo.await("a stream is served", func() bool {
-				return wo.sendLate(no, lateRequest{id: "first-stream", route: "resume", client: &http.Client{}}).Status == http.StatusOK
-			})
-			wo.deregisterAll(tt, tc.service)
-			if tc.cut {
-				wo.cut(no, stand.Reset)
-			}
+			wo, no := newRawWorld(tt, tc.service, tc.cut)
 			for number, hh := range halfHeads {
 				var mu sync.Mutex
 				position, reached := 0, 0
--- a/internal/soak/raw_test.go
+++ b/internal/soak/raw_test.go
@@ -94,6 +94,24 @@
 	return re.began[id]
 }
 
+// newRawWorld starts two instances and leaves the service without endpoints, for raw ones. The first instance reaches endpoints only through the other one if
+// cut is set.
+func newRawWorld(tt *testing.T, service string, cut bool) (*world, *node) {
+	tt.Helper()
+	wo := newWorld(tt, 2, 100_000_000)
+	awaitReady(tt, wo)
+	wo.deregisterOthers()
+	no := wo.nodes[0]
+	wo.await("a stream is served", func() bool {
+		return wo.sendLate(no, lateRequest{id: "first-stream", route: "stream", client: &http.Client{}}).Status == http.StatusOK
+	})
+	wo.deregisterAll(tt, service)
+	if cut {
+		wo.cut(no, stand.Reset)
+	}
+	return wo, no
+}
+
 // runsOf returns the number of runs of a request at several endpoints.
 func runsOf(list []*rawEndpoint, id string) int {
 	sum := 0
--- a/internal/soak/refusal_test.go
+++ b/internal/soak/refusal_test.go
@@ -99,17 +99,7 @@
 	for _, tc := range cases {
 		tt.Run(tc.name, func(tt *testing.T) {
 			tt.Parallel()
-			wo := newWorld(tt, 2, 100_000_000)
-			awaitReady(tt, wo)
-			wo.deregisterOthers()
-			no := wo.nodes[0]
-			wo.await("a stream is served", func() bool {
-				return wo.sendLate(no, lateRequest{id: "first-stream", route: "stream", client: &http.Client{}}).Status == http.StatusOK
-			})
-			wo.deregisterAll(tt, tc.service)
-			if tc.cut {
-				wo.cut(no, stand.Reset)
-			}
+			wo, no := newRawWorld(tt, tc.service, tc.cut)
 			for _, rr := range stand.RawRefusals {
 				wo.playRefusals(tt, no, rr, tc.service, tc.routes, tc.sameID, tc.cut)
 			}
