--- a/internal/soak/broken_head_test.go
+++ b/internal/soak/broken_head_test.go
@@ -102,11 +102,8 @@
 	within, reset bool
 }
 
-const (
-	// brokenEvents is the number of complete events before a stream breaks off.
-	brokenEvents = 3
-	headStart    = "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\nContent-Type: text/event-stream\r\n"
-)
+// brokenEvents is the number of complete events before a stream breaks off.
+const brokenEvents = 3
 
 var streamBreaks = []streamBreak{
 	{"in chunks, after an event, closed", "Transfer-Encoding: chunked\r\n", true, false, false},
@@ -125,42 +122,12 @@
 	if sb.chunked {
 		body = fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
 	}
-	_, _ = fmt.Fprintf(nc, headStart+sb.head+"\r\n"+"%s", id, stand.Sign(http.StatusOK, id, ""), body)
+	_, _ = fmt.Fprintf(nc, stand.StreamHead+sb.head+"\r\n"+"%s", id, stand.Sign(http.StatusOK, id, ""), body)
 	// The reset must not overtake the events.
 	time.Sleep(20 * time.Millisecond)
 	return endConn(nc, sb.reset)
 }
 
-// brokenAnswers are what an endpoint answers a stream with that it is to resume. %s stands for the ID and the signature.
-var brokenAnswers = []struct {
-	name, text string
-	// status signs the answer.
-	status int
-	reset  bool
-}{
-	{"signed failure", "HTTP/1.1 500 Oops\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\nContent-Length: 4\r\n\r\noops", 500, false},
-	{"failure in chunks", "HTTP/1.1 500 Oops\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\noops\r\n0\r\n\r\n", 500, false},
-	{"failure to the end of the connection", "HTTP/1.1 500 Oops\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\n\r\noops", 500, false},
-	{"unsigned failure", "HTTP/1.1 502 Oops\r\nAttempt-Id: %s\r\nX: %s\r\nContent-Length: 6\r\n\r\noops\n\n", 502, false},
-	{"not found", "HTTP/1.1 404 Oops\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\nContent-Length: 4\r\n\r\noops", 404, false},
-	{"failure that is cut", "HTTP/1.1 500 Oops\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\nContent-Length: 40\r\n\r\noops", 500, true},
-	{"empty body with a length", headStart + "Content-Length: 0\r\n\r\n", 200, false},
-	{"empty body in chunks", headStart + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 200, false},
-	{"empty body to the end of the connection", headStart + "\r\n", 200, false},
-	{"no content", "HTTP/1.1 204 No Content\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\n\r\n", 204, false},
-	{"text that is no stream", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\noops\n\n", 200, false},
-	{"text and an empty line in chunks", headStart + "Transfer-Encoding: chunked\r\n\r\nd\r\nerror oops!\n\n\r\n0\r\n\r\n", 200, false},
-	{"head of a failure in the body", headStart + "\r\nHTTP/1.1 500 Oops\r\nContent-Type: text/plain\r\n\r\noops\n\n", 200, false},
-	{"comments only", headStart + "Transfer-Encoding: chunked\r\n\r\n7\r\n: oops\n\r\n1\r\n\n\r\n0\r\n\r\n", 200, false},
-	{"event without an ID", headStart + "Content-Length: 12\r\n\r\ndata: oops\n\n", 200, false},
-	{"event of the beginning", headStart + "Content-Length: 18\r\n\r\nid: 1\ndata: oops\n\n", 200, false},
-	{"unsigned success", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nX: %s\r\nContent-Length: 6\r\n\r\noops\n\n", 200, false},
-	{"half a head", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\nContent-Le", 200, false},
-	{"half a head and a reset", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\nContent-Le", 200, true},
-	{"half a status line", "HTTP/1.1 20", 200, false},
-	{"nothing", "", 200, false},
-}
-
 // TestFailureWhileStreamIsResumed guards against the text of a failure in the middle of a stream, and against a stream that ends as if it were complete, when it
 // has broken off and the endpoint that resumes it fails.
 func TestFailureWhileStreamIsResumed(tt *testing.T) {
@@ -168,15 +135,15 @@
 		tt.Run(map[bool]string{false: "directly", true: "through a peer"}[cut], func(tt *testing.T) {
 			tt.Parallel()
 			wo, no := newRawWorld(tt, "model", cut)
-			for number, ba := range brokenAnswers {
-				wo.playFailure(tt, no, fmt.Sprint("failure-", number), ba.name, func(nc net.Conn, id string) bool {
-					text := ba.text
+			for number, ba := range stand.BrokenAnswers {
+				wo.playFailure(tt, no, fmt.Sprint("failure-", number), ba.Name, func(nc net.Conn, id string) bool {
+					text := ba.Text
 					if strings.Contains(text, "%s") {
-						text = fmt.Sprintf(text, id, stand.Sign(ba.status, id, map[bool]string{false: "", true: "oops"}[ba.status >= 400]))
+						text = fmt.Sprintf(text, id, stand.Sign(ba.Status, id, map[bool]string{false: "", true: "oops"}[ba.Status >= 400]))
 					}
 					_, _ = io.WriteString(nc, text)
 					time.Sleep(20 * time.Millisecond)
-					return endConn(nc, ba.reset)
+					return endConn(nc, ba.Reset)
 				})
 			}
 		})
@@ -242,15 +209,6 @@
 	}
 }
 
-// halfHeads are heads of responses with different framing, whose ends are cut off; %s stands for the ID and the signature.
-var halfHeads = []struct{ name, text string }{
-	{"with a length", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\nContent-Length: 12\r\n\r\n"},
-	{"in chunks", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\nTransfer-Encoding: chunked\r\n\r\n"},
-	{"without a length", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\n\r\n"},
-	{"with a length of 0", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: 0\r\nServer-Signature: %s\r\n\r\n"},
-	{"after interim responses", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\nContent-Length: 0\r\n\r\n"},
-}
-
 // TestHalfHead guards against a success with an empty or short body when the endpoint closes the connection in the middle of the head of its response. All
 // positions are in the test of package conns.
 func TestHalfHead(tt *testing.T) {
@@ -268,13 +226,13 @@
 		tt.Run(tc.name, func(tt *testing.T) {
 			tt.Parallel()
 			wo, no := newRawWorld(tt, tc.service, tc.cut)
-			for number, hh := range halfHeads {
+			for number, hh := range stand.HalfHeads {
 				var mu sync.Mutex
 				position, reached := 0, 0
 				reset := false
 				fp := wo.addPair(fmt.Sprint("half-", number), tc.service, func(nc net.Conn, rq *http.Request, _ int) bool {
 					id := rq.Header.Get(stand.HeaderRequestID)
-					text := fmt.Sprintf(hh.text, id, stand.Sign(http.StatusOK, id, ""))
+					text := fmt.Sprintf(hh.Text, id, stand.Sign(http.StatusOK, id, ""))
 					mu.Lock()
 					at, rs := position%(len(text)-1), reset
 					reached++
@@ -296,11 +254,11 @@
 					id := fmt.Sprint("half-", number, "-", step)
 					got := wo.callFault(no, id, tc.routes[step%len(tc.routes)], 0, "")
 					if got.status >= 200 && got.status < 300 {
-						tt.Errorf("%s, cut after some %d bytes (reset: %t): the caller got the status %d and %q (complete: %t), want no success", hh.name, position, reset, got.status, got.body, got.complete)
+						tt.Errorf("%s, cut after some %d bytes (reset: %t): the caller got the status %d and %q (complete: %t), want no success", hh.Name, position, reset, got.status, got.body, got.complete)
 					}
 				}
 				mu.Lock()
-				tt.Logf("%s: %d requests reached the endpoints", hh.name, reached)
+				tt.Logf("%s: %d requests reached the endpoints", hh.Name, reached)
 				mu.Unlock()
 				wo.removePair(fp)
 			}
