--- a/review/_stand-3/world.go
+++ b/review/_stand-3/world.go
@@ -243,6 +243,7 @@
 // run runs a case and returns its exit code.
 func run(name, recordPath string, trouble bool) int {
 	cases := map[string]func(*world) (bool, error){
+		"copy":    copyCase,
 		"version": versionCase,
 	}
 	ca, ok := cases[name]
