--- a/review/_stand-3/runner.go
+++ b/review/_stand-3/runner.go
@@ -36,7 +36,9 @@
 	server   *http.Server
 	running  int
 	runs     []string
-	// reaches reports whether the runner reaches the store.
+	// clock is by how much the clock of the machine is ahead.
+	clock time.Duration
+	// beating is closed at the end of the process.
 	beating chan struct{}
 }
 
@@ -53,13 +55,13 @@
 		return err
 	}
 	ru.address = li.Addr().String()
-	ru.version, ru.born, ru.sequence, ru.state, ru.running = version, time.Now().UnixMilli(), 0, "ready", 0
+	ru.version, ru.born, ru.sequence, ru.state, ru.running = version, time.Now().Add(ru.clock).UnixMilli(), 0, "ready", 0
 	process := &process{runner: ru, version: version}
 	ru.server = &http.Server{Handler: process, ReadHeaderTimeout: 2 * time.Second}
 	go func(se *http.Server) { _ = se.Serve(li) }(ru.server)
 	ru.beating = make(chan struct{})
 	go ru.beat(ru.beating)
-	ru.world.log("%s started with version %s at %s", ru.id, version, ru.address)
+	ru.world.log("%s started with version %s at %s, born %d", ru.id, version, ru.address, ru.born)
 	return nil
 }
 
--- a/review/_stand-3/world.go
+++ b/review/_stand-3/world.go
@@ -245,6 +245,7 @@
 	cases := map[string]func(*world) (bool, error){
 		"copy":    copyCase,
 		"version": versionCase,
+		"drain":   drainCase,
 	}
 	ca, ok := cases[name]
 	if !ok {
