Review: case 12, a tenant gets more than it paid for when all instances are killed at a return of the store and its total was raised before

A script: the store comes back from a copy 4 s old and older than the raise, and the operator has written the manifest again 4 s later.

--- a/review/_stand-3/world.go
+++ b/review/_stand-3/world.go
@@ -110,33 +110,26 @@
 	starts  int
 }
 
-// freePort returns a port that is free now.
-func freePort() (string, error) {
-	li, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = li.Close() }()
-	_, port, err := net.SplitHostPort(li.Addr().String())
-	return port, err
-}
-
 var placeholder = regexp.MustCompile(`\{\{([^}]*)\}\}`)
 
 // addNode prepares an instance with the settings of a small deployment, as the template of the deploy file gives them.
 func (wo *world) addNode(name, zone string) (*node, error) {
-	var ports [3]string
-	for ix := range ports {
-		port, err := freePort()
+	var addresses [3]string
+	for ix := range addresses {
+		address, err := stand.FreeAddress()
 		if err != nil {
 			return nil, err
 		}
-		ports[ix] = port
+		addresses[ix] = address
+	}
+	no := &node{world: wo, name: name, callers: addresses[0], ready: addresses[1], config: filepath.Join(wo.dir, name+".ini")}
+	ip, port, err := net.SplitHostPort(addresses[2])
+	if err != nil {
+		return nil, err
 	}
-	no := &node{world: wo, name: name, callers: "127.0.0.1:" + ports[0], ready: "127.0.0.1:" + ports[1], config: filepath.Join(wo.dir, name+".ini")}
 	no.values = map[string]string{
-		"node_name": name, "zone": zone, "listeners_map.frontend": no.callers, "listeners_map.readiness": no.ready, "ip": "127.0.0.1",
-		"internal_ports.0": ports[2], "bootstrap": "true", "bounds.grace_s": "8", "limits.memory_mb": "284", "limits.cpu_quota": "0",
+		"node_name": name, "zone": zone, "listeners_map.frontend": no.callers, "listeners_map.readiness": no.ready, "ip": ip,
+		"internal_ports.0": port, "bootstrap": "true", "bounds.grace_s": "8", "limits.memory_mb": "284", "limits.cpu_quota": "0",
 		"limits.link_mbps": "1000", "platform.address": wo.address, "bounds.retry_ratio": "0.2", "bounds.retry_headroom": "52", "bounds.retry_window_s": "10",
 	}
 	wo.nodes = append(wo.nodes, no)
@@ -245,6 +238,7 @@
 	cases := map[string]func(*world) (bool, error){
 		"copy":    copyCase,
 		"version": versionCase,
+		"topup":   topupCase,
 		"drain":   drainCase,
 	}
 	ca, ok := cases[name]
