--- a/review/_stand-3/runner.go
+++ b/review/_stand-3/runner.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -197,15 +196,3 @@
 	wo.store.SetFault(stand.NoFault)
 	wo.log("the store is up")
 }
-
-// versionsOf returns the software versions whose events a stream holds, in their order.
-func versionsOf(text string) []string {
-	var list []string
-	for _, line := range strings.Split(text, "\n") {
-		fields := strings.Fields(line)
-		if len(fields) == 3 && fields[0] == "data:" && (len(list) == 0 || list[len(list)-1] != fields[2]) {
-			list = append(list, fields[2])
-		}
-	}
-	return list
-}
