--- a/review/_stand-3/world.go
+++ b/review/_stand-3/world.go
@@ -1,4 +1,4 @@
-// Command stand-3 holds the stand-ins of the scripts review/12 to review/14: callers, endpoints and the platform's store, in front of instances that run as
+// Command stand-3 holds the stand-ins of the scripts review/12 to review/15: callers, endpoints and the platform's store, in front of instances that run as
 // separate processes.
 package main
 
@@ -236,9 +236,10 @@
 // run runs a case and returns its exit code.
 func run(name, recordPath string, trouble bool) int {
 	cases := map[string]func(*world) (bool, error){
-		"copy":  copyCase,
-		"topup": topupCase,
-		"drain": drainCase,
+		"copy":   copyCase,
+		"topup":  topupCase,
+		"resume": resumeCase,
+		"drain":  drainCase,
 	}
 	ca, ok := cases[name]
 	if !ok {
