--- a/review/_stand-3/world.go
+++ b/review/_stand-3/world.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -69,14 +70,23 @@
 	se := &http.Server{Handler: wo.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = se.Serve(li) }()
 	wo.closers = append(wo.closers, func() { _ = se.Close() })
-	time.AfterFunc(runLimit, func() {
-		wo.log("the case took too long")
-		wo.close()
-		os.Exit(exitNotRun)
-	})
+	time.AfterFunc(runLimit, func() { wo.abort("the case took too long") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		wo.abort("the case was stopped")
+	}()
 	return wo, nil
 }
 
+// abort ends the case before it has a result.
+func (wo *world) abort(reason string) {
+	wo.log("%s", reason)
+	wo.close()
+	os.Exit(exitNotRun)
+}
+
 // log writes a line with the time since the start to the record.
 func (wo *world) log(format string, args ...any) {
 	wo.mu.Lock()
